--- /dev/null
+++ b/ava.config.js
@@ -0,0 +1,9 @@
+const settings = {
+	files: ['src/**/__tests__/*.test.ts', 'bench/**/__tests__/*.test.ts', 'scripts/**/__tests__/*.test.ts'],
+	extensions: {ts: 'module'},
+	nodeArguments: ['--import=tsx'],
+	workerThreads: false,
+	timeout: '2m',
+};
+
+export default settings;
