--- a/src/errors/errors.ts
+++ b/src/errors/errors.ts
@@ -58,6 +58,10 @@
 		return error;
 	}
 
-	const message = error instanceof Error ? error.message : String(error);
-	return new CarobquayError('5900', {message: `unexpected failure: ${message}`, ran, cause: error});
+	return new CarobquayError('5900', {message: `unexpected failure: ${errorMessage(error)}`, ran, cause: error});
+}
+
+/** Text of any thrown value. */
+export function errorMessage(error: unknown): string {
+	return error instanceof Error ? error.message : String(error);
 }
