--- /dev/null
+++ b/src/platform/memory/memory-weight-store.ts
@@ -0,0 +1,87 @@
+/**
+ * In-memory twin of the platform's rate-limited weight store.
+ *
+ * @module
+ */
+import {CarobquayError} from '../../errors/errors.js';
+import {type CallKind, PlatformFailure, toWeightsError} from '../failure.js';
+import {TokenBucket} from '../token-bucket.js';
+import {type WeightEntry, type WeightStore} from '../weight-store.js';
+import {CallCounts} from './call-counts.js';
+import {type FaultOptions, PlatformFaults} from './faults.js';
+import {defaultTimeout} from './memory-table.js';
+
+/** Admissions per second where no rate is set. */
+const defaultAdmissionsPerSecond = 2;
+
+export type MemoryWeightStoreOptions = FaultOptions & {
+	/**
+	 * Admissions per second.
+	 * @default 2
+	 */
+	admissionsPerSecond?: number;
+	/**
+	 * Entries held from the start.
+	 * @default []
+	 */
+	entries?: readonly WeightEntry[];
+};
+
+/** A weight store of names and sizes; it throws 1004 for an entry that it does not hold. */
+export class MemoryWeightStore implements WeightStore {
+	readonly faults: PlatformFaults;
+	readonly counts = new CallCounts();
+	readonly #entries = new Map<string, WeightEntry>();
+	readonly #admissions: TokenBucket;
+
+	constructor({admissionsPerSecond = defaultAdmissionsPerSecond, entries = [], ...faults}: MemoryWeightStoreOptions = {}) {
+		this.faults = new PlatformFaults({timeout: defaultTimeout, ...faults});
+		this.#admissions = new TokenBucket({rate: admissionsPerSecond});
+		for (const entry of entries) {
+			this.declare(entry);
+		}
+	}
+
+	/** Adds or replaces an entry. */
+	declare(entry: WeightEntry): void {
+		this.#entries.set(entryKey(entry.name, entry.version), {...entry});
+	}
+
+	async list(signal?: AbortSignal): Promise<WeightEntry[]> {
+		this.counts.add('list', 'weights');
+		return this.#call('read', () => [...this.#entries.values()].map(entry => ({...entry})), signal);
+	}
+
+	async admit(name: string, version: string, signal?: AbortSignal): Promise<WeightEntry> {
+		this.counts.add('admit', 'weights');
+		return this.#call('write', () => {
+			const entry = this.#entries.get(entryKey(name, version));
+			if (!entry) {
+				throw unknownWeights(name, version);
+			}
+
+			if (!this.#admissions.tryTake()) {
+				throw new PlatformFailure('rate-limited', `over the rate of ${this.#admissions.rate} admissions per second`);
+			}
+
+			return {...entry};
+		}, signal);
+	}
+
+	async #call<Result>(kind: CallKind, effect: () => Result, signal: AbortSignal | undefined): Promise<Result> {
+		try {
+			return await this.faults.call({kind, effect, signal});
+		} catch (error) {
+			throw toWeightsError(error, kind);
+		}
+	}
+}
+
+/** The error for an entry that the store does not hold. */
+export function unknownWeights(name: string, version: string): CarobquayError {
+	return new CarobquayError('1004', {message: `weight store: no entry "${name}" of version "${version}"`});
+}
+
+function entryKey(name: string, version: string): string {
+	return JSON.stringify([name, version]);
+}
