feat(platform): tell a call that never left the queue from one without an answer

Cause: undici looks at a queued request's abort signal only when a connection is free, so a queued call outlived its time limit and was told as unknown. Change: a call is given up at its limit also in the queue, is dropped before a byte is sent, and is told as not done; after a silent connection the whole pool is replaced. Ruled out: headersTimeout alone (it does not cover the queue and runs on a coarse timer).

--- /dev/null
+++ b/src/platform/http/__tests__/http-channel.test.ts
@@ -0,0 +1,172 @@
+import {createServer, type Server, type Socket} from 'node:net';
+import {performance} from 'node:perf_hooks';
+import test from 'ava';
+import {CarobquayError} from '../../../errors/errors.js';
+import {startTableStandIn} from '../../../stand-in/platform/table.js';
+import {HttpTable} from '../http-table.js';
+
+/** Time limit in milliseconds of a call in these tests. */
+const timeout = 200;
+
+const write = {conditions: [], writes: [{kind: 'put', key: 'a', value: 1} as const]};
+
+async function told(call: Promise<unknown>): Promise<string> {
+	try {
+		await call;
+		return 'done';
+	} catch (error) {
+		return error instanceof CarobquayError ? `${error.code} ${error.ran}` : String(error);
+	}
+}
+
+/** Listens with a server that treats each connection as told. */
+async function listen(onConnection: (socket: Socket) => void): Promise<{address: string; close: () => void}> {
+	const sockets: Socket[] = [];
+	const server: Server = createServer(socket => {
+		socket.on('error', () => undefined);
+		sockets.push(socket);
+		onConnection(socket);
+	});
+	const port = await new Promise<number>(resolve => {
+		server.listen(0, '127.0.0.1', () => {
+			const bound = server.address();
+			resolve(typeof bound === 'object' && bound ? bound.port : 0);
+		});
+	});
+	return {
+		address: `127.0.0.1:${port}`,
+		close() {
+			server.close();
+			for (const socket of sockets) {
+				socket.destroy();
+			}
+		},
+	};
+}
+
+const respond = (status: string, body: string) => (socket: Socket) => {
+	socket.once('data', () => {
+		socket.end(`HTTP/1.1 ${status}\r\ncontent-type: application/json\r\ncontent-length: ${body.length}\r\nconnection: close\r\n\r\n${body}`);
+	});
+};
+
+const stayOpen = (socket: Socket) => {
+	socket.resume();
+};
+
+const servers: Array<{name: string; onConnection: (socket: Socket) => void; write: string; read: string}> = [
+	{
+		name: 'silent', onConnection: stayOpen, write: '5002 unknown', read: '5001 no',
+	},
+	{
+		name: 'cut after the request',
+		onConnection(socket) {
+			socket.once('data', () => {
+				socket.destroy();
+			});
+		},
+		write: '5002 unknown',
+		read: '5001 no',
+	},
+	{
+		name: 'cut within the answer',
+		onConnection(socket) {
+			socket.once('data', () => {
+				socket.end('HTTP/1.1 200 OK\r\ncontent-length: 500\r\n\r\n{"committed":true');
+			});
+		},
+		write: '5002 unknown',
+		read: '5001 no',
+	},
+	{
+		name: 'silent within the answer',
+		onConnection(socket) {
+			socket.once('data', () => {
+				socket.write('HTTP/1.1 200 OK\r\ncontent-length: 500\r\n\r\n{"committed":true');
+			});
+		},
+		write: '5002 unknown',
+		read: '5001 no',
+	},
+	{
+		name: 'status 429', onConnection: respond('429 Too Many Requests', '{}'), write: '5003 no', read: '5003 no',
+	},
+	{
+		name: 'status 503 that says not done', onConnection: respond('503 Unavailable', '{"done":false}'), write: '5001 no', read: '5001 no',
+	},
+	{
+		name: 'status 503 of something between', onConnection: respond('503 Unavailable', '<html>'), write: '5002 unknown', read: '5001 no',
+	},
+	{
+		name: 'status 404', onConnection: respond('404 Not Found', '{}'), write: '5002 unknown', read: '5001 no',
+	},
+	{
+		name: 'answer of another form', onConnection: respond('200 OK', '{"committed":"yes","items":[{}]}'), write: '5002 unknown', read: '5001 no',
+	},
+	{
+		name: 'answer that is not JSON', onConnection: respond('200 OK', 'committed'), write: '5002 unknown', read: '5001 no',
+	},
+];
+
+for (const {name, onConnection, write: writeTold, read: readTold} of servers) {
+	test(`server ${name}: write ${writeTold}, read ${readTold}, within the time limit`, async t => {
+		const {address, close} = await listen(onConnection);
+		const table = new HttpTable({address, timeout});
+		t.teardown(async () => {
+			await table.close();
+			close();
+		});
+
+		const startedAt = performance.now();
+		t.is(await told(table.transact(write)), writeTold);
+		t.is(await told(table.read(['a'])), readTold);
+		t.true(performance.now() - startedAt < (timeout * 2) + 1000);
+	});
+}
+
+test('a refused connection: write 5001 no', async t => {
+	const {address, close} = await listen(() => undefined);
+	close();
+	const table = new HttpTable({address, timeout});
+	t.teardown(async () => table.close());
+	t.is(await told(table.transact(write)), '5001 no');
+});
+
+test('a write whose caller leaves before a connection is free: 5001 no', async t => {
+	let requests = 0;
+	const {address, close} = await listen(socket => {
+		socket.on('data', () => {
+			requests++;
+		});
+	});
+	const table = new HttpTable({address, timeout, connections: 1});
+	t.teardown(async () => {
+		await table.close();
+		close();
+	});
+	const first = told(table.transact(write));
+	const startedAt = performance.now();
+	const queued = told(table.transact(write, AbortSignal.timeout(timeout / 4)));
+	t.is(await queued, '5001 no');
+	t.true(performance.now() - startedAt < timeout);
+	t.is(await first, '5002 unknown');
+	await new Promise(resolve => {
+		setTimeout(resolve, timeout / 4);
+	});
+	t.is(requests, 1);
+});
+
+test('silent connections are left for new ones after one time limit', async t => {
+	const standIn = await startTableStandIn();
+	const table = new HttpTable({address: standIn.address, timeout, connections: 4});
+	t.teardown(async () => {
+		await table.close();
+		await standIn.close();
+	});
+	await Promise.all(Array.from({length: 4}, async () => table.read(['a'])));
+	standIn.silenceConnections();
+
+	t.is(await told(table.transact(write)), '5002 unknown');
+	const results = await Promise.all(Array.from({length: 8}, async () => told(table.transact(write))));
+	t.deepEqual(results, Array.from({length: 8}, () => 'done'));
+});
--- a/src/platform/http/http-channel.ts
+++ b/src/platform/http/http-channel.ts
@@ -75,13 +75,12 @@
 	async call(call: HttpCall): Promise<HttpAnswer> {
 		const pool = this.#pool;
 		const limit = new AbortController();
-		const attempt = new Attempt(pool);
+		const attempt = new Attempt(pool, call.signal ? AbortSignal.any([limit.signal, call.signal]) : limit.signal);
 		const timer = setTimeout(() => {
 			limit.abort(new Error(`no answer from ${this.#address} within ${this.#timeout} ms`));
 		}, this.#timeout);
 		try {
-			const answer = await attempt.send(call, call.signal ? AbortSignal.any([limit.signal, call.signal]) : limit.signal);
-			return checkStatus(answer);
+			return checkStatus(await attempt.send(call));
 		} catch (error) {
 			if (limit.signal.aborted) {
 				this.#replace(pool);
@@ -128,23 +127,24 @@
 /** One call on its way; knows whether a connection has begun to send it. */
 class Attempt {
 	readonly #dispatcher: Dispatcher;
+	readonly #signal: AbortSignal;
 	#sent = false;
 
-	constructor(pool: Pool) {
+	constructor(pool: Pool, signal: AbortSignal) {
+		this.#signal = signal;
 		this.#dispatcher = pool.compose(dispatch => (options, handler) => dispatch(options, {
 			...bindHandler(handler),
 			onRequestStart: (controller, context) => {
-				this.#sent = true;
+				// A call that was given up in the queue is dropped here, before a byte is sent.
+				this.#sent = !signal.aborted;
 				handler.onRequestStart?.(controller, context);
 			},
 		}));
 	}
 
-	async send({method, path, headers, body}: HttpCall, signal: AbortSignal): Promise<HttpAnswer> {
-		const response = await this.#dispatcher.request({
-			method, path, headers, body, signal,
-		});
-		return {status: response.statusCode, bytes: await response.body.bytes()};
+	/** Sends the call; rejects at once when the signal aborts, also while the call waits for a connection. */
+	async send(call: HttpCall): Promise<HttpAnswer> {
+		return Promise.race([this.#request(call), aborted(this.#signal)]);
 	}
 
 	failure(error: unknown): PlatformFailure {
@@ -156,6 +156,30 @@
 			? new PlatformFailure('unknown', `no whole answer: ${errorMessage(error)}`, error)
 			: new PlatformFailure('unavailable', `not sent: ${errorMessage(error)}`, error);
 	}
+
+	async #request({
+		method, path, headers, body,
+	}: HttpCall): Promise<HttpAnswer> {
+		const response = await this.#dispatcher.request({
+			method, path, headers, body, signal: this.#signal,
+		});
+		return {status: response.statusCode, bytes: await response.body.bytes()};
+	}
+}
+
+/** Rejects when a signal aborts; undici itself does not look at the signal of a queued request. */
+async function aborted(signal: AbortSignal): Promise<never> {
+	return new Promise((_resolve, reject) => {
+		const abort = () => {
+			reject(new Error(errorMessage(signal.reason)));
+		};
+
+		if (signal.aborted) {
+			abort();
+		} else {
+			signal.addEventListener('abort', abort, {once: true});
+		}
+	});
 }
 
 function bindHandler(handler: Dispatcher.DispatchHandler): Dispatcher.DispatchHandler {
