--- /dev/null
+++ b/src/routing/division.ts
@@ -0,0 +1,80 @@
+/**
+ * Divides a prompt that fits no engine at message boundaries.
+ *
+ * @module
+ */
+import type {DivisionPlan, MessageRange} from './decision.js';
+
+/** Answer tokens of each part, which the combining request reads. */
+const partAnswerTokens = 1024;
+
+/** Greatest share of the memory that shared messages and question may take, or parts would be too small. */
+const maximumRepeatedShare = 0.5;
+
+/** Tokens of each message and what one engine can hold. */
+export type DivisionRequest = {
+	/** Cautious tokens of each message, in order. */
+	messageTokens: readonly number[];
+	/** Tokens of prompt and answer that the largest engine holds. */
+	capacity: number;
+	/** Greatest number of answer tokens of the whole request. */
+	answerTokens: number;
+};
+
+/**
+ * Plans the parts; undefined where a single message is too large or the repeated messages leave no room.
+ *
+ * The first message (instructions) and the last one (the question) are repeated in each part.
+ */
+export function planDivision({messageTokens, capacity, answerTokens}: DivisionRequest): DivisionPlan | undefined {
+	const last = messageTokens.length - 1;
+	if (last < 2) {
+		return undefined;
+	}
+
+	const shared = range(messageTokens, 0, 1);
+	const question = range(messageTokens, last, last + 1);
+	const repeated = shared.tokens + question.tokens;
+	const room = capacity - repeated - Math.max(partAnswerTokens, answerTokens);
+	if (repeated > capacity * maximumRepeatedShare) {
+		return undefined;
+	}
+
+	const parts = packMessages(messageTokens, room);
+	const combined = repeated + ((parts?.length ?? 0) * partAnswerTokens) + answerTokens;
+	return parts && combined <= capacity
+		? {
+			shared, parts, question, partAnswerTokens,
+		}
+		: undefined;
+}
+
+/** Packs the middle messages in order into as few parts as fit, of sizes as even as their boundaries allow. */
+function packMessages(messageTokens: readonly number[], room: number): MessageRange[] | undefined {
+	const middle = range(messageTokens, 1, messageTokens.length - 1);
+	const even = middle.tokens / Math.ceil(middle.tokens / room);
+	const parts: MessageRange[] = [];
+	let first = 1;
+	let tokens = 0;
+	for (let index = 1; index < messageTokens.length - 1; index++) {
+		const message = messageTokens[index]!;
+		if (message > room) {
+			return undefined;
+		}
+
+		if (tokens > 0 && (tokens + message > room || tokens >= even)) {
+			parts.push({first, end: index, tokens});
+			first = index;
+			tokens = 0;
+		}
+
+		tokens += message;
+	}
+
+	parts.push({first, end: messageTokens.length - 1, tokens});
+	return parts;
+}
+
+function range(messageTokens: readonly number[], first: number, end: number): MessageRange {
+	return {first, end, tokens: messageTokens.slice(first, end).reduce((sum, tokens) => sum + tokens, 0)};
+}
--- /dev/null
+++ b/src/routing/engine-choice.ts
@@ -0,0 +1,168 @@
+/**
+ * Scores engines for one prompt and chooses among a seeded sample of them.
+ *
+ * @module
+ */
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {xorshift128plus} from 'pure-rand/generator/xorshift128plus';
+import type {LoadView} from '../upstream/load-view.js';
+import type {PrefixIndex} from '../upstream/prefix-index.js';
+import type {WorkTier} from './decision.js';
+import type {EnginePool, PositionRange} from './engine-pool.js';
+import {hashText} from './seed.js';
+
+/** Engines sampled from the tier's own range. A few spread instances that hold the same old reports. */
+const ownRangeSample = 3;
+
+/** Engines sampled from the ranges of longer tiers, whose idle capacity may be used. */
+const longerRangeSample = 1;
+
+/** Engines looked at because they hold the prompt's prefix. */
+const prefixSample = 2;
+
+/** Expected loss in milliseconds where an engine may have just begun longer work of another instance. */
+const longerRangePenalty = 300;
+
+/** Expected wait in milliseconds at an engine whose memory is full. */
+const fullMemoryPenalty = 2000;
+
+/** Delay in milliseconds that each stream at an engine adds to a step. */
+const streamDelay = 2;
+
+/** Additional latency in milliseconds to another failure domain, there and back. */
+const otherDomainDelay = 3;
+
+/** Penalty in milliseconds of an engine at which a request has just failed. */
+const suspectPenalty = 10_000;
+
+/** A prompt as the choice of an engine sees it. */
+export type Prompt = {
+	requestId: string;
+	tier: WorkTier;
+	promptTokens: number;
+	totalTokens: number;
+	prefixHashes: readonly string[];
+	/** Tokens that one prefix hash covers. */
+	tokensPerHash: number;
+	excluded: readonly string[];
+	/** Attempts so far; another attempt samples anew. */
+	attempt: number;
+};
+
+/** A scored engine. */
+export type ScoredEngine = {
+	view: LoadView;
+	/** Expected time to the first token in milliseconds. */
+	score: number;
+	cachedTokens: number;
+	prefillTime: number;
+	/** Expected wait before the prefill in milliseconds. */
+	wait: number;
+	/** Whether its memory is believed to hold the prompt and its answer now. */
+	fits: boolean;
+};
+
+/** What stays the same between choices. */
+export type EngineChoiceOptions = {
+	seed: number;
+	/** Failure domain of this instance. */
+	failureDomain: string;
+	/** Failure domain of an upstream. */
+	domainOf: (upstream: string) => string | undefined;
+	/** Whether a request failed at an upstream a short time ago. */
+	isSuspect: (upstream: string, now: number) => boolean;
+};
+
+/** Chooses engines. */
+export class EngineChoice {
+	readonly #index: PrefixIndex;
+	readonly #options: EngineChoiceOptions;
+
+	constructor(index: PrefixIndex, options: EngineChoiceOptions) {
+		this.#index = index;
+		this.#options = options;
+	}
+
+	/** Scored candidates for a prompt of the short or medium tier, best first. */
+	candidates(pool: EnginePool, prompt: Prompt, now: number): ScoredEngine[] {
+		const range = pool.range(prompt.tier, now);
+		const chosen = this.#sample(pool, prompt, range);
+		if (chosen.size === 0) {
+			// All of the tier's engines are excluded: any other is better than none.
+			for (const view of pool.members) {
+				if (!prompt.excluded.includes(view.name)) {
+					chosen.add(view);
+				}
+			}
+		}
+
+		return [...chosen].map(view => this.score(pool, view, prompt, now)).toSorted(byScore);
+	}
+
+	/** All engines of the long range, scored, best first. */
+	longCandidates(pool: EnginePool, prompt: Prompt, now: number): ScoredEngine[] {
+		const {first, end} = pool.range('long', now);
+		return pool.members.slice(first, end)
+			.filter(view => !prompt.excluded.includes(view.name))
+			.map(view => this.score(pool, view, prompt, now))
+			.toSorted(byScore);
+	}
+
+	/** Expected time to first token at one engine. */
+	score(pool: EnginePool, view: LoadView, prompt: Prompt, now: number): ScoredEngine {
+		const depth = this.#index.depth(view.name, prompt.prefixHashes);
+		const cachedTokens = Math.min(prompt.promptTokens - 1, Math.floor(depth * prompt.tokensPerHash));
+		const prefillTime = pool.rate.prefillTime(prompt.promptTokens, cachedTokens);
+		const pending = view.pendingPrefill(now);
+		const long = prompt.tier === 'long' ? 0 : view.longPrefill(now);
+		const wait = pending - long + (long * pool.rate.blocking);
+		const free = view.freeTokens(now);
+		const fits = free === undefined || free >= prompt.totalTokens - cachedTokens;
+		const score = wait + prefillTime
+			+ (view.streams(now) * streamDelay)
+			+ (fits ? 0 : fullMemoryPenalty)
+			+ this.#rangePenalty(pool, view, prompt.tier, now)
+			+ (this.#options.domainOf(view.name) === this.#options.failureDomain ? 0 : otherDomainDelay)
+			+ (this.#options.isSuspect(view.name, now) ? suspectPenalty : 0);
+		return {
+			view, score, cachedTokens, prefillTime, wait, fits,
+		};
+	}
+
+	#rangePenalty(pool: EnginePool, view: LoadView, tier: WorkTier, now: number): number {
+		return tier !== 'long' && (pool.position(view.name) ?? 0) < pool.range(tier, now).first ? longerRangePenalty : 0;
+	}
+
+	#sample(pool: EnginePool, prompt: Prompt, range: PositionRange): Set<LoadView> {
+		const {members} = pool;
+		const generator = xorshift128plus(hashText(prompt.requestId, this.#options.seed + prompt.attempt));
+		const chosen = new Set<LoadView>();
+		const pick = ({first, end}: PositionRange, count: number) => {
+			const start = end > first ? uniformInt(generator, first, end - 1) : first;
+			for (let step = 0, found = 0; step < end - first && found < count; step++) {
+				// Neighbours in rendezvous order are unrelated, so that a run of them is as good as single picks.
+				const view = members[first + ((start - first + step) % (end - first))]!;
+				if (!prompt.excluded.includes(view.name)) {
+					chosen.add(view);
+					found++;
+				}
+			}
+		};
+
+		pick(range, ownRangeSample);
+		pick({first: 0, end: range.first}, longerRangeSample);
+		const rotation = uniformInt(generator, 0, members.length);
+		for (const name of this.#index.holders(prompt.prefixHashes, prefixSample, rotation)) {
+			const position = pool.position(name);
+			if (position !== undefined && position < range.end && !prompt.excluded.includes(name)) {
+				chosen.add(members[position]!);
+			}
+		}
+
+		return chosen;
+	}
+}
+
+function byScore(left: ScoredEngine, right: ScoredEngine): number {
+	return left.score - right.score || (left.view.name < right.view.name ? -1 : 1);
+}
--- /dev/null
+++ b/src/routing/explain.ts
@@ -0,0 +1,54 @@
+/**
+ * Explains how a decision would come about.
+ *
+ * @module
+ */
+import type {CandidateExplanation, Explanation, RequestFacts} from './decision.js';
+import type {FleetView} from './fleet-view.js';
+import type {UpstreamDescription} from './observation.js';
+import type {PromptRouter} from './prompt-router.js';
+import {belongs, unmet, unmetBy} from './selection.js';
+
+/** Pools that match, candidates with their scores, and why others are none. */
+export function explainDecision(fleet: FleetView, prompts: PromptRouter, facts: RequestFacts, now: number): Explanation {
+	const {classes, customers, pools} = fleet.configuration;
+	const requestClass = classes.get(facts.requestClass);
+	const customer = customers.get(facts.customer);
+	if (!requestClass || !customer) {
+		return {pools: [], candidates: []};
+	}
+
+	const kind = facts.model === undefined ? 'service' : 'engine';
+	const poolExplanations = [...pools.values()].map(pool => {
+		const serves = facts.model === undefined ? pool.name === facts.service : pool.models.includes(facts.model);
+		const reason = pool.kind === kind ? unmetBy(requestClass, pool) ?? (serves ? undefined : `does not serve ${facts.model ?? facts.service}`) : `is of kind ${pool.kind}`;
+		return {pool: pool.name, matches: reason === undefined, unmet: reason};
+	});
+	const matching = poolExplanations.filter(({matches}) => matches).map(({pool}) => pools.get(pool)!);
+	const scores = facts.model === undefined ? new Map<string, number>() : promptScores(prompts, facts, {requestClass, customer, now});
+	const candidates = [...fleet.upstreams.values()].map((upstream): CandidateExplanation => {
+		const unmetPools = matching.map(pool => belongs(pool, upstream) ? undefined : unmet(pool.upstreams, upstream.labels) ?? `is of kind ${upstream.kind}`);
+		const outside = unmetPools.includes(undefined) ? undefined : unmetPools[0] ?? 'no pool matches';
+		return {upstream: upstream.name, score: scores.get(upstream.name), excludedBecause: outside ?? stateReason(fleet, facts, upstream)};
+	});
+	return {pools: poolExplanations, candidates};
+}
+
+function promptScores(prompts: PromptRouter, facts: RequestFacts, {requestClass, customer, now}: ScoreContext): Map<string, number> {
+	const {pools, prompt} = prompts.assess(facts, requestClass, customer, now);
+	return new Map(pools.flatMap(pool => pool.members.map(view => [view.name, prompts.choice.score(pool, view, prompt, now).score] as const)));
+}
+
+type ScoreContext = {
+	requestClass: Parameters<PromptRouter['assess']>[1];
+	customer: Parameters<PromptRouter['assess']>[2];
+	now: number;
+};
+
+function stateReason(fleet: FleetView, facts: RequestFacts, upstream: UpstreamDescription): string | undefined {
+	if (!fleet.isOpen(upstream)) {
+		return upstream.state === 'live' ? 'is leaving' : `is ${upstream.state}`;
+	}
+
+	return facts.excluded.includes(upstream.name) ? 'was tried already' : undefined;
+}
--- /dev/null
+++ b/src/routing/long-queue.ts
@@ -0,0 +1,91 @@
+/**
+ * Long prompts that wait at this instance for an engine, in weighted fair order between customers.
+ *
+ * @module
+ */
+import type {RequestFacts} from './decision.js';
+
+/** Share of its time that a request may wait before it goes ahead of the fair order. */
+const urgentShare = 0.6;
+
+/** A request in the queue. */
+export type QueuedRequest = {
+	facts: RequestFacts;
+	pool: string;
+	promptTokens: number;
+	prefillTime: number;
+	priority: number;
+	queuedAt: number;
+	/** Time at which it must have begun to end by its deadline. */
+	latestStart: number;
+	/** Virtual time of weighted fair queueing at which its service would end. */
+	tag: number;
+};
+
+/** A queue with start-time fair queueing between customers. */
+export class LongQueue {
+	readonly #requests = new Map<string, QueuedRequest>();
+	/** Latest tag of each customer. */
+	readonly #tags = new Map<string, number>();
+	#virtualTime = 0;
+
+	get size(): number {
+		return this.#requests.size;
+	}
+
+	has(requestId: string): boolean {
+		return this.#requests.has(requestId);
+	}
+
+	/** Prefill time in milliseconds that waits for a pool. */
+	queuedTime(pool: string): number {
+		let sum = 0;
+		for (const request of this.#requests.values()) {
+			sum += request.pool === pool ? request.prefillTime : 0;
+		}
+
+		return sum;
+	}
+
+	/** Adds a request; its tag follows from the customer's weight. */
+	add(request: Omit<QueuedRequest, 'tag'>, weight: number): void {
+		const {customer} = request.facts;
+		const tag = Math.max(this.#virtualTime, this.#tags.get(customer) ?? 0) + (request.prefillTime / weight);
+		this.#tags.set(customer, tag);
+		this.#requests.set(request.facts.requestId, {...request, tag});
+	}
+
+	/** Puts a request back that left the queue without being sent. */
+	putBack(request: QueuedRequest): void {
+		this.#requests.set(request.facts.requestId, request);
+	}
+
+	/** Takes a request out. */
+	remove(requestId: string): QueuedRequest | undefined {
+		const request = this.#requests.get(requestId);
+		this.#requests.delete(requestId);
+		return request;
+	}
+
+	/** Notes that a request is served, which advances the virtual time. */
+	served(request: QueuedRequest): void {
+		this.#virtualTime = Math.max(this.#virtualTime, request.tag);
+		if (this.#requests.size === 0) {
+			this.#tags.clear();
+			this.#virtualTime = 0;
+		}
+	}
+
+	/** Requests in the order of service: higher priority, then urgent ones by deadline, then fair order. */
+	inOrder(now: number): QueuedRequest[] {
+		return [...this.#requests.values()].toSorted((left, right) => right.priority - left.priority
+			|| rank(left, now) - rank(right, now)
+			|| left.tag - right.tag
+			|| left.queuedAt - right.queuedAt);
+	}
+}
+
+function rank(request: QueuedRequest, now: number): number {
+	const slack = request.latestStart - request.queuedAt;
+	return now - request.queuedAt > slack * urgentShare ? request.latestStart : Number.MAX_SAFE_INTEGER;
+}
--- /dev/null
+++ b/src/routing/tiers.ts
@@ -0,0 +1,73 @@
+/**
+ * Divides the engines of a pool between short, medium and long prompts.
+ *
+ * All instances order a pool's engines alike (rendezvous hashing), so that sizes alone decide which engine takes what:
+ * the first engines of the order take long prompts, the next ones medium prompts, the rest is kept for short ones.
+ * Instances that judge a size one engine apart disagree about one engine only.
+ *
+ * @module
+ */
+import type {WorkTier} from './decision.js';
+import {hashText} from './seed.js';
+
+/** Prefill time in milliseconds up to which a prompt is of the short tier. */
+export const shortPrefillTime = 400;
+
+/** Prefill time in milliseconds above which a prompt is of the long tier. */
+export const longPrefillTime = 5000;
+
+/** Milliseconds of prefill asked for in each second, by tier. */
+export type TierWork = Record<WorkTier, number>;
+
+/** Number of engines of each tier. */
+export type TierSizes = Record<WorkTier, number>;
+
+/** Greatest share of its time that an engine of a tier should spend on prefill. */
+const targetUtilization: Readonly<Record<WorkTier, number>> = {short: 0.5, medium: 0.7, long: 0.9};
+
+/** Share of a pool that the short tier keeps whatever the mix. */
+const minimumShortShare = 0.25;
+
+/** Share of a pool that long work gets while there is any. */
+const minimumLongShare = 0.05;
+
+/** Tier of a prompt by the time that its prefill takes. */
+export function tierOf(prefillTime: number): WorkTier {
+	if (prefillTime <= shortPrefillTime) {
+		return 'short';
+	}
+
+	return prefillTime <= longPrefillTime ? 'medium' : 'long';
+}
+
+/** Names of upstreams in the order that all instances agree on. */
+export function rendezvousOrder(pool: string, names: readonly string[]): string[] {
+	return names
+		.map(name => ({name, hash: hashText(`${pool}/${name}`)}))
+		.toSorted((left, right) => left.hash - right.hash || (left.name < right.name ? -1 : 1))
+		.map(({name}) => name);
+}
+
+/**
+ * Sizes of the tiers for so many engines under the work asked for.
+ *
+ * Capacity that no tier needs goes to all in proportion. Where there is too little, long work shrinks first, down to
+ * its minimum share.
+ */
+export function tierSizes(engines: number, work: TierWork): TierSizes {
+	if (engines <= 1) {
+		return {short: engines, medium: engines, long: engines};
+	}
+
+	const need = {
+		short: Math.max(minimumShortShare * engines, work.short / 1000 / targetUtilization.short),
+		medium: work.medium / 1000 / targetUtilization.medium,
+		long: Math.max(minimumLongShare * engines, work.long / 1000 / targetUtilization.long),
+	};
+	const total = need.short + need.medium + need.long;
+	const scale = Math.max(1, engines / total);
+	const short = Math.min(engines - 1, Math.max(1, Math.round(need.short * scale)));
+	const rest = engines - short;
+	const long = Math.max(1, Math.round(rest * (need.long / (need.long + need.medium))));
+	return {short, medium: rest - long, long};
+}
