feat(upstream): engine stand-in and the HTTP engine client

Cause: routing and retries need an engine that streams, resumes, cancels and reports late. Ruled out: sending prompts over idle connections, which may have gone silent; each stream has a connection of its own.

--- a/src/stand-in/engine/engine-model.ts
+++ b/src/stand-in/engine/engine-model.ts
@@ -183,6 +183,11 @@
 		this.#holds.expire(now);
 	}
 
+	/** Sequence number of the latest cache event; 0 before the first. */
+	get lastCacheEvent(): number {
+		return this.#memory.lastSequence;
+	}
+
 	/** Cache events after a sequence number; a gap before the first means that older ones are no longer kept. */
 	cacheEvents(after: number): {events: CacheEvent[]; last: number} {
 		return {events: this.#memory.eventsAfter(after), last: this.#memory.lastSequence};
--- a/src/stand-in/server.ts
+++ b/src/stand-in/server.ts
@@ -10,7 +10,7 @@
 } from 'node:net';
 import {getRequestListener, type HttpBindings} from '@hono/node-server';
 import {Hono} from 'hono';
-import {errorMessage} from '../errors/errors.js';
+import type {ContentfulStatusCode} from 'hono/utils/http-status';
 import {type Faults, parseFaultOrder} from './faults.js';
 import {GatedConnection} from './gated-connection.js';
 
@@ -45,14 +45,20 @@
 	close: () => Promise<void>;
 };
 
+/** Answer to an error, where a stand-in has one of its own for it. */
+export type ErrorDescription = (error: Error) => {status: ContentfulStatusCode; error: string; message: string} | undefined;
+
 /**
  * Creates an application that shows faults on every route but those under /admin, whose connections show none either.
  *
  * `POST /admin/faults` takes a fault order, `GET /admin/faults` gives the lasting faults, `DELETE` ends them.
  */
-export function createApplication(faults: Faults): StandInApplication {
+export function createApplication(faults: Faults, describeError: ErrorDescription = () => undefined): StandInApplication {
 	const application: StandInApplication = new Hono();
-	application.onError((error, context) => context.json({error: errorMessage(error)}, error instanceof SyntaxError || error.name === 'ZodError' ? 400 : 500));
+	application.onError((error, context) => {
+		const {status, ...body} = describeError(error) ?? describeAnyError(error);
+		return context.json(body, status);
+	});
 	application.use('/admin/*', async (context, next) => {
 		const connection: unknown = context.env.incoming.socket;
 		if (connection instanceof GatedConnection) {
@@ -95,6 +101,11 @@
 	return application;
 }
 
+function describeAnyError(error: Error): {status: ContentfulStatusCode; error: string; message: string} {
+	const malformed = error instanceof SyntaxError || error.name === 'ZodError' || error.name === '$ZodError';
+	return {status: malformed ? 400 : 500, error: malformed ? 'malformed' : 'failed', message: error.message};
+}
+
 /** Runs an application on TCP; resolves once it listens. */
 export async function startServer(
 	application: StandInApplication,
--- /dev/null
+++ b/src/upstream/http-engine.ts
@@ -0,0 +1,220 @@
+/**
+ * Client of a model engine over HTTP and server-sent events.
+ *
+ * @module
+ */
+import {createParser} from 'eventsource-parser';
+import type {Dispatcher} from 'undici';
+import type {z} from 'zod';
+import {CarobquayError} from '../errors/errors.js';
+import type {
+	CacheEventPage, CacheExport, EngineClient, EngineMessage, EngineOrder, GenerateRequest, LoadReport, Reservation, StreamSummary,
+} from './engine.js';
+import {type DroppedMessages, type ExpectedStream, MessageGuard} from './http-engine-guard.js';
+import {
+	cacheEventPageShape, cacheSnapshotShape, exportShape, fromWireExport, loadShape, messageShape, refusalShape, reservationShape, streamsShape, toHeaders, toWireExport,
+} from './http-engine-wire.js';
+import {
+	HttpUpstream, type HttpUpstreamOptions, SilenceWatch, type UpstreamCall,
+} from './http-upstream.js';
+
+/** Greatest number of characters of one event. */
+const maximumEventLength = 1_048_576;
+
+/** Path below which streams live. */
+const streamsPath = '/v1/streams';
+
+/** Settings of an engine's client. */
+export type HttpEngineOptions = HttpUpstreamOptions;
+
+type ControlOptions = {body?: unknown; signal: AbortSignal | undefined};
+
+/** An engine over HTTP. A call that its caller aborts throws 4009, or the abort's reason where that is numbered. */
+export class HttpEngine implements EngineClient {
+	readonly #upstream: HttpUpstream;
+	readonly #dropped: DroppedMessages = {crossed: 0, repeated: 0, malformed: 0};
+
+	constructor(options: HttpEngineOptions) {
+		this.#upstream = new HttpUpstream(options);
+	}
+
+	get name(): string {
+		return this.#upstream.name;
+	}
+
+	/** Messages that were not passed on, over all streams. */
+	get dropped(): Readonly<DroppedMessages> {
+		return this.#dropped;
+	}
+
+	async * generate(request: GenerateRequest, signal: AbortSignal): AsyncGenerator<EngineMessage> {
+		const {body, ...metadata} = request;
+		yield * this.#read(
+			{
+				method: 'POST', path: streamsPath, headers: {'content-type': 'application/json', ...toHeaders(metadata)}, body, signal,
+			},
+			{request: {requestId: request.requestId, attempt: request.attempt}, offset: 0},
+		);
+	}
+
+	async * resume(streamId: string, offset: number, signal: AbortSignal): AsyncGenerator<EngineMessage> {
+		yield * this.#read(
+			{method: 'GET', path: `${streamsPath}/${encodeURIComponent(streamId)}?offset=${offset}`, signal},
+			{streamId, offset},
+		);
+	}
+
+	async cancel(streamId: string, signal?: AbortSignal): Promise<void> {
+		await this.#send('DELETE', `${streamsPath}/${encodeURIComponent(streamId)}`, {signal});
+	}
+
+	async cancelRequest(requestId: string, attempt: number, signal?: AbortSignal): Promise<void> {
+		await this.#send('DELETE', `/v1/requests/${encodeURIComponent(requestId)}/attempts/${attempt}`, {signal});
+	}
+
+	async streams(signal?: AbortSignal): Promise<StreamSummary[]> {
+		return this.#ask('GET', streamsPath, streamsShape, {signal});
+	}
+
+	async load(signal?: AbortSignal): Promise<LoadReport> {
+		return this.#ask('GET', '/v1/load', loadShape, {signal});
+	}
+
+	async cacheEvents(after: number, signal?: AbortSignal): Promise<CacheEventPage> {
+		return this.#ask('GET', `/v1/cache-events?after=${after}`, cacheEventPageShape, {signal});
+	}
+
+	async cacheSnapshot(signal?: AbortSignal): Promise<{incarnation: string; last: number; hashes: readonly string[]}> {
+		return this.#ask('GET', '/v1/cache', cacheSnapshotShape, {signal});
+	}
+
+	async reserve(request: Parameters<EngineClient['reserve']>[0], signal?: AbortSignal): Promise<Reservation> {
+		return this.#ask('POST', '/v1/reservations', reservationShape, {body: request, signal});
+	}
+
+	async release(reservationId: string, signal?: AbortSignal): Promise<void> {
+		await this.#send('DELETE', `/v1/reservations/${encodeURIComponent(reservationId)}`, {signal});
+	}
+
+	async order(order: EngineOrder, signal?: AbortSignal): Promise<void> {
+		await this.#send('POST', '/v1/orders', {body: order, signal});
+	}
+
+	async exportCache(hashes: readonly string[], owner: string, lifetime: number, signal?: AbortSignal): Promise<CacheExport> {
+		return fromWireExport(await this.#ask('POST', '/v1/cache/export', exportShape, {body: {hashes, owner, lifetime}, signal}));
+	}
+
+	async importCache(cache: CacheExport, owner: string, lifetime: number, signal?: AbortSignal): Promise<void> {
+		await this.#send('POST', '/v1/cache/import', {body: {cache: toWireExport(cache), owner, lifetime}, signal});
+	}
+
+	/** Closes all connections at once; streams under way throw 4003. */
+	async close(): Promise<void> {
+		await this.#upstream.close();
+	}
+
+	async * #read(call: Omit<UpstreamCall, 'watch'>, expected: ExpectedStream): AsyncGenerator<EngineMessage> {
+		const watch = new SilenceWatch(this.#upstream.silenceLimit);
+		const guard = new MessageGuard(this.name, expected, this.#dropped);
+		let response: Dispatcher.ResponseData | undefined;
+		try {
+			response = await this.#upstream.work({...call, watch});
+			await this.#checkStatus(response);
+			for await (const message of this.#messages(response, watch)) {
+				if (guard.accepts(message)) {
+					yield message;
+					if (message.kind === 'end') {
+						return;
+					}
+				}
+			}
+
+			throw new CarobquayError('4003', {message: `engine "${this.name}" closed a stream before its end`});
+		} catch (error) {
+			throw this.#upstream.toError(error, {watch, signal: call.signal});
+		} finally {
+			watch.stop();
+			response?.body.destroy();
+		}
+	}
+
+	/** Messages as they come; their reader's time does not count as silence. */
+	async * #messages(response: Dispatcher.ResponseData, watch: SilenceWatch): AsyncGenerator<EngineMessage> {
+		const received: EngineMessage[] = [];
+		const parser = createParser({
+			maxBufferSize: maximumEventLength,
+			onEvent: event => {
+				received.push(...this.#parse(event.data));
+			},
+			onError: () => {
+				this.#dropped.malformed++;
+			},
+		});
+		const decoder = new TextDecoder();
+		const chunks: AsyncIterable<Uint8Array> = response.body;
+		for await (const chunk of chunks) {
+			watch.touch();
+			parser.feed(decoder.decode(chunk, {stream: true}));
+			for (const message of received.splice(0)) {
+				yield message;
+				watch.touch();
+			}
+		}
+	}
+
+	#parse(data: string): EngineMessage[] {
+		const parsed = messageShape.safeParse(parseJson(data));
+		if (parsed.success) {
+			return [parsed.data];
+		}
+
+		this.#dropped.malformed++;
+		return [];
+	}
+
+	async #ask<Shape extends z.ZodType>(method: Dispatcher.HttpMethod, path: string, shape: Shape, {body, signal}: ControlOptions): Promise<z.infer<Shape>> {
+		return this.#upstream.control(toCall(method, path, {body, signal}), async response => {
+			await this.#checkStatus(response);
+			return shape.parse(await response.body.json());
+		});
+	}
+
+	async #send(method: Dispatcher.HttpMethod, path: string, {body, signal}: ControlOptions): Promise<void> {
+		await this.#upstream.control(toCall(method, path, {body, signal}), async response => {
+			await this.#checkStatus(response);
+			await response.body.dump();
+		});
+	}
+
+	async #checkStatus({statusCode, body}: Dispatcher.ResponseData): Promise<void> {
+		if (statusCode >= 200 && statusCode < 300) {
+			return;
+		}
+
+		const refusal = refusalShape.safeParse(parseJson(await body.text()));
+		const reason = refusal.success ? `${refusal.data.error}: ${refusal.data.message ?? ''}` : 'no reason given';
+		const message = `engine "${this.name}" answered ${statusCode}, ${reason}`;
+		if (refusal.data?.error === 'stale-fencing-number') {
+			throw new CarobquayError('4006', {message});
+		}
+
+		const refused = statusCode < 500 || statusCode === 503;
+		throw new CarobquayError(refused ? '4005' : '4003', {message});
+	}
+}
+
+function toCall(method: Dispatcher.HttpMethod, path: string, {body, signal}: ControlOptions): Omit<UpstreamCall, 'watch'> {
+	return body === undefined
+		? {method, path, signal}
+		: {
+			method, path, signal, headers: {'content-type': 'application/json'}, body: [new TextEncoder().encode(JSON.stringify(body))],
+		};
+}
+
+function parseJson(text: string): unknown {
+	try {
+		return JSON.parse(text);
+	} catch {
+		return undefined;
+	}
+}
