--- a/src/platform/memory/faults.ts
+++ b/src/platform/memory/faults.ts
@@ -7,11 +7,15 @@
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {CarobquayError} from '../../errors/errors.js';
+import {sleep} from '../backoff.js';
 import {type CallKind, PlatformFailure} from '../failure.js';
 
 /** Seed of the generator where none is given. */
 const defaultSeed = 1;
 
+/** Greatest time in milliseconds between two looks at whether a freeze has ended. */
+const frozenPoll = 50;
+
 /** What goes wrong at a service. */
 export type FaultSettings = {
 	/** Every call is refused and not done. */
@@ -171,15 +175,6 @@
 	}
 }
 
-/** Greatest time in milliseconds between two looks at whether a freeze has ended. */
-const frozenPoll = 50;
-
-async function sleep(duration: number): Promise<void> {
-	return new Promise(resolve => {
-		setTimeout(resolve, duration);
-	});
-}
-
 async function settle<Result>(
 	answer: Promise<Result>,
 	caller: {resolve: (result: Result) => void; reject: (error: unknown) => void},
