feat(platform): stand-ins of the platform on the shared server

Cause: the platform's stand-ins had a server of their own beside the one that all stand-ins share. Change: they run on startServer, which gives silent, cut and refused connections; one fault order covers connections and calls.

--- a/src/platform/http/__tests__/http-channel.test.ts
+++ b/src/platform/http/__tests__/http-channel.test.ts
@@ -164,7 +164,7 @@
 		await standIn.close();
 	});
 	await Promise.all(Array.from({length: 4}, async () => table.read(['a'])));
-	standIn.silenceConnections();
+	standIn.apply({silence: true});
 
 	t.is(await told(table.transact(write)), '5002 unknown');
 	const results = await Promise.all(Array.from({length: 8}, async () => told(table.transact(write))));
--- a/src/stand-in/platform/instance-list.ts
+++ b/src/stand-in/platform/instance-list.ts
@@ -5,7 +5,8 @@
  */
 import {z} from 'zod';
 import {MemoryInstanceList, type MemoryInstanceListOptions} from '../../platform/memory/memory-instance-list.js';
-import {type ListenOptions, type RunningStandIn, serveStandIn} from './server.js';
+import {type ServerOptions} from '../server.js';
+import {type RunningStandIn, serveStandIn} from './server.js';
 
 const instanceBody = z.strictObject({
 	kind: z.enum(['entry', 'engine', 'service']),
@@ -17,7 +18,7 @@
 });
 
 /** Starts an instance list stand-in; PUT /admin/instances/NAME declares an instance, DELETE removes it. */
-export async function startInstanceListStandIn(options: MemoryInstanceListOptions & ListenOptions = {}): Promise<RunningStandIn<MemoryInstanceList>> {
+export async function startInstanceListStandIn(options: MemoryInstanceListOptions & ServerOptions = {}): Promise<RunningStandIn<MemoryInstanceList>> {
 	const instances = new MemoryInstanceList({...options, timeout: undefined});
 	return serveStandIn(instances, application => {
 		application.get('/v1/instances', async context => context.json(await instances.read()));
--- a/src/stand-in/platform/object-store.ts
+++ b/src/stand-in/platform/object-store.ts
@@ -6,11 +6,12 @@
 import {Buffer} from 'node:buffer';
 import {type FaultOptions} from '../../platform/memory/faults.js';
 import {MemoryObjects} from '../../platform/memory/memory-objects.js';
-import {type ListenOptions, type RunningStandIn, serveStandIn} from './server.js';
+import {type ServerOptions} from '../server.js';
+import {type RunningStandIn, serveStandIn} from './server.js';
 import {parseLimit} from './table.js';
 
 /** Starts an object store stand-in. */
-export async function startObjectStoreStandIn(options: FaultOptions & ListenOptions = {}): Promise<RunningStandIn<MemoryObjects>> {
+export async function startObjectStoreStandIn(options: FaultOptions & ServerOptions = {}): Promise<RunningStandIn<MemoryObjects>> {
 	const objects = new MemoryObjects({...options, timeout: undefined});
 	return serveStandIn(objects, application => {
 		application.get('/v1/objects', async context => {
--- a/src/stand-in/platform/table.ts
+++ b/src/stand-in/platform/table.ts
@@ -5,7 +5,8 @@
  */
 import {z} from 'zod';
 import {MemoryTable, type MemoryTableOptions} from '../../platform/memory/memory-table.js';
-import {type ListenOptions, type RunningStandIn, serveStandIn} from './server.js';
+import {type ServerOptions} from '../server.js';
+import {type RunningStandIn, serveStandIn} from './server.js';
 
 const key = z.string().min(1);
 const readBody = z.strictObject({keys: z.array(key)});
@@ -18,7 +19,7 @@
 });
 
 /** Starts a table stand-in; an unanswered call lasts as long as its caller waits. */
-export async function startTableStandIn(options: MemoryTableOptions & ListenOptions = {}): Promise<RunningStandIn<MemoryTable>> {
+export async function startTableStandIn(options: MemoryTableOptions & ServerOptions = {}): Promise<RunningStandIn<MemoryTable>> {
 	const table = new MemoryTable({...options, timeout: undefined});
 	return serveStandIn(table, application => {
 		application.post('/v1/read', async context => {
--- a/src/stand-in/platform/weight-store.ts
+++ b/src/stand-in/platform/weight-store.ts
@@ -6,13 +6,14 @@
 import {z} from 'zod';
 import {CarobquayError} from '../../errors/errors.js';
 import {MemoryWeightStore, type MemoryWeightStoreOptions} from '../../platform/memory/memory-weight-store.js';
-import {type ListenOptions, type RunningStandIn, serveStandIn} from './server.js';
+import {type ServerOptions} from '../server.js';
+import {type RunningStandIn, serveStandIn} from './server.js';
 
 const admissionBody = z.strictObject({name: z.string(), version: z.string()});
 const entryBody = admissionBody.extend({bytes: z.int().nonnegative()});
 
 /** Starts a weight store stand-in; PUT /admin/weights declares an entry. */
-export async function startWeightStoreStandIn(options: MemoryWeightStoreOptions & ListenOptions = {}): Promise<RunningStandIn<MemoryWeightStore>> {
+export async function startWeightStoreStandIn(options: MemoryWeightStoreOptions & ServerOptions = {}): Promise<RunningStandIn<MemoryWeightStore>> {
 	const weights = new MemoryWeightStore({...options, timeout: undefined});
 	return serveStandIn(weights, application => {
 		application.get('/v1/weights', async context => context.json({entries: await weights.list()}));
