feat(entry): the whole path, thin: callers to engines and services through entry instances as separate processes

Cause: nothing served a request yet; every later part needs the path to stand on. Change: settings, configuration documents, callers' and operators' ports, request life, dispatcher, runners of prompts and services, directory of upstreams, command line, embedded start; a test runs two entries, two engines, a service and the four platform stand-ins as processes. Ruled out: parsing large bodies on the event loop (a worker thread outlines them while they arrive); web streams for answers (no backpressure without copies). Conclusion: kept; at-most-once across instances, deferred requests and links between instances are still to come.

--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -17,7 +17,7 @@
 	platform: 'node',
 	target: 'node20.20',
 	format: 'cjs',
-	define: {'process.env.CAROBQUAY_VERSION': JSON.stringify(packageManifest.version)},
+	define: {carobquayVersion: JSON.stringify(packageManifest.version)},
 	// An optional native helper of cbor-x; its script version is used instead.
 	external: ['cbor-extract'],
 	logLevel: 'warning',
--- /dev/null
+++ b/src/entry/instance.ts
@@ -0,0 +1,216 @@
+/**
+ * One entry instance: its parts, how they are joined, how it starts and how it stops.
+ *
+ * @module
+ */
+import {randomUUID} from 'node:crypto';
+import {performance} from 'node:perf_hooks';
+import {collectDefaultMetrics, Registry} from 'prom-client';
+import {ConfigurationStore, type AcceptedConfiguration} from '../configuration/store.js';
+import {CarobquayError} from '../errors/errors.js';
+import type {Platform} from '../platform/platform.js';
+import {Dispatcher} from '../request/dispatcher.js';
+import {PromptReader} from '../request/prompt-reader.js';
+import {PromptRunner} from '../request/prompt-runner.js';
+import {ServiceRunner} from '../request/service-runner.js';
+import {Router} from '../routing/router.js';
+import type {ResolvedSettings} from '../settings/schema.js';
+import {DecisionLog} from '../telemetry/decision-log.js';
+import type {EventLog} from '../telemetry/log.js';
+import {RequestMetrics} from '../telemetry/request-metrics.js';
+import {UpstreamDirectory, type UpstreamConnector} from '../upstream/directory.js';
+import {EngineReserver} from '../upstream/engine-reserver.js';
+import {version} from '../version.js';
+import {KeyRing} from './authentication.js';
+import {BodyMemory} from './body.js';
+import {callersApplication, type InForce} from './callers.js';
+import {HttpListener} from './listener.js';
+import {operatorsApplication, type InstanceStatus} from './operators.js';
+import {RequestGate} from './request-gate.js';
+
+/** What an instance is built from. */
+export type EntryInstanceOptions = {
+	settings: ResolvedSettings;
+	platform: Platform;
+	connector: UpstreamConnector;
+	log: EventLog;
+};
+
+/** Addresses that an instance serves, as "IP:port". */
+export type InstanceAddresses = {callers: string; operators: string};
+
+/** An entry instance between callers and upstreams. It keeps nothing that must outlive it. */
+export class EntryInstance {
+	readonly #settings: ResolvedSettings;
+	readonly #log: EventLog;
+	readonly #incarnation = randomUUID();
+	readonly #registry = new Registry();
+	readonly #gate = new RequestGate();
+	readonly #reader = new PromptReader();
+	readonly #memory: BodyMemory;
+	readonly #router: Router;
+	readonly #dispatcher: Dispatcher;
+	readonly #directory: UpstreamDirectory;
+	readonly #store: ConfigurationStore;
+	readonly #callers: HttpListener;
+	readonly #operators: HttpListener;
+	#inForce: InForce | undefined;
+
+	constructor({settings, platform, connector, log}: EntryInstanceOptions) {
+		this.#settings = settings;
+		this.#log = log.with({instance: settings.instance.name});
+		this.#memory = new BodyMemory(settings.limits.bodiesInMemory);
+		this.#router = new Router({instance: settings.instance.name, failureDomain: settings.instance.failureDomain});
+		const metrics = new RequestMetrics(this.#registry, () => this.#gate.inFlight);
+		collectDefaultMetrics({register: this.#registry, prefix: 'carobquay_'});
+		this.#directory = this.#createDirectory(platform, connector);
+		this.#dispatcher = this.#createDispatcher(metrics);
+		this.#store = new ConfigurationStore({
+			table: platform.table,
+			log: this.#log,
+			pollInterval: settings.configuration.pollInterval,
+			onChange: accepted => {
+				this.#enforce(accepted);
+			},
+		});
+		this.#callers = new HttpListener(this.#createCallers(metrics).fetch);
+		this.#operators = new HttpListener(operatorsApplication({
+			keyHash: settings.operators.keyHash,
+			registry: this.#registry,
+			store: this.#store,
+			router: this.#router,
+			status: () => this.status,
+		}).fetch);
+	}
+
+	/** State of this instance. */
+	get status(): InstanceStatus {
+		const {name, failureDomain, region} = this.#settings.instance;
+		return {
+			name,
+			failureDomain,
+			region,
+			version,
+			incarnation: this.#incarnation,
+			ready: this.#inForce !== undefined && !this.#gate.isClosed,
+			generation: this.#inForce?.configuration.generation ?? 0,
+			inFlight: this.#gate.inFlight,
+			waiting: this.#dispatcher.waiting,
+			bodyBytes: this.#memory.held,
+			upstreams: this.#directory.upstreams,
+		};
+	}
+
+	/** Where configurations are proposed and read. */
+	get configurations(): ConfigurationStore {
+		return this.#store;
+	}
+
+	/** Opens the ports and begins to serve. */
+	async start(): Promise<InstanceAddresses> {
+		const {callers, operators} = this.#settings;
+		const operatorsAddress = await this.#operators.listen(operators.host, operators.port);
+		await Promise.all([this.#store.start(), this.#directory.start()]);
+		const callersAddress = await this.#callers.listen(callers.host, callers.port);
+		this.#log.info('instance.started', {callers: callersAddress, operators: operatorsAddress, incarnation: this.#incarnation});
+		return {callers: callersAddress, operators: operatorsAddress};
+	}
+
+	/**
+	 * Stops without cutting a request: takes no new ones and waits for those in flight.
+	 *
+	 * @returns whether all of them ended within the shutdown limit.
+	 */
+	async shutdown(): Promise<boolean> {
+		this.#log.info('instance.stopping', {in_flight: this.#gate.inFlight});
+		let timer: NodeJS.Timeout | undefined;
+		const timeUp = new Promise<boolean>(resolve => {
+			timer = setTimeout(resolve, this.#settings.limits.shutdown, false);
+		});
+		const ended = await Promise.race([this.#gate.close().then(() => true), timeUp]);
+		clearTimeout(timer);
+		await this.stop();
+		this.#log.info('instance.stopped', {ended});
+		return ended;
+	}
+
+	/** Stops at once, cutting what is in flight. */
+	async stop(): Promise<void> {
+		this.#store.stop();
+		const closed = Promise.all([this.#callers.close(), this.#operators.close()]);
+		this.#callers.destroy();
+		this.#operators.destroy();
+		await Promise.all([closed, this.#directory.stop(), this.#reader.close()]);
+	}
+
+	#enforce({configuration}: AcceptedConfiguration): void {
+		this.#inForce = {configuration, keys: new KeyRing(configuration)};
+		this.#router.setConfiguration(configuration, performance.now());
+	}
+
+	#createDirectory(platform: Platform, connector: UpstreamConnector): UpstreamDirectory {
+		const router = this.#router;
+		return new UpstreamDirectory({
+			instances: platform.instances,
+			connector,
+			log: this.#log,
+			listInterval: this.#settings.upstreams.listInterval,
+			loadInterval: this.#settings.upstreams.loadInterval,
+			listener: {
+				upstreamsChanged(upstreams, now) {
+					router.setUpstreams(upstreams, now);
+				},
+				observe: observation => {
+					this.#dispatcher.observe(observation);
+				},
+				lastCacheSequence: upstream => router.lastCacheSequence(upstream),
+				get toResync() {
+					return router.toResync;
+				},
+			},
+		});
+	}
+
+	#createDispatcher(metrics: RequestMetrics): Dispatcher {
+		const decisions = new DecisionLog({
+			log: this.#log, metrics, enabled: this.#settings.log.decisions, generation: () => this.#inForce?.configuration.generation ?? 0,
+		});
+		return new Dispatcher({
+			source: this.#router,
+			reserver: new EngineReserver(name => this.#directory.engine(name), this.#owner),
+			listener(facts, decision, microseconds) {
+				decisions.record(facts, decision, microseconds);
+			},
+		});
+	}
+
+	#createCallers(metrics: RequestMetrics) {
+		const {limits, upstreams} = this.#settings;
+		return callersApplication({
+			inForce: () => {
+				if (this.#inForce === undefined) {
+					throw new CarobquayError('3005', {message: 'no configuration is in force yet'});
+				}
+
+				return this.#inForce;
+			},
+			reader: this.#reader,
+			prompts: new PromptRunner({
+				dispatcher: this.#dispatcher,
+				engine: name => this.#directory.engine(name),
+				owner: this.#owner,
+				orphanLifetime: upstreams.orphanLifetime,
+			}),
+			services: new ServiceRunner({dispatcher: this.#dispatcher, service: name => this.#directory.service(name)}),
+			gate: this.#gate,
+			limits: {size: limits.body, silence: limits.callerSilence, memory: this.#memory},
+			log: this.#log,
+			metrics,
+		});
+	}
+
+	/** Name and incarnation, by which engines know whose streams they hold. */
+	get #owner(): string {
+		return `${this.#settings.instance.name}/${this.#incarnation}`;
+	}
+}
--- /dev/null
+++ b/src/entry/request-gate.ts
@@ -0,0 +1,59 @@
+/**
+ * Counts requests in flight and closes to new ones at shutdown.
+ *
+ * @module
+ */
+import {CarobquayError} from '../errors/errors.js';
+
+/** Lets requests in until it is closed. */
+export class RequestGate {
+	#inFlight = 0;
+	#closed = false;
+	#onEmpty: (() => void) | undefined;
+
+	/** Requests that have entered and not left. */
+	get inFlight(): number {
+		return this.#inFlight;
+	}
+
+	get isClosed(): boolean {
+		return this.#closed;
+	}
+
+	/**
+	 * Lets a request in.
+	 *
+	 * @returns a function to call once when the request has ended.
+	 * @throws {CarobquayError} 3006 once the gate is closed.
+	 */
+	enter(): () => void {
+		if (this.#closed) {
+			throw new CarobquayError('3006', {message: 'this instance is shutting down and takes no new requests'});
+		}
+
+		this.#inFlight += 1;
+		let inside = true;
+		return () => {
+			if (inside) {
+				inside = false;
+				this.#inFlight -= 1;
+				this.#reportEmpty();
+			}
+		};
+	}
+
+	/** Takes no more requests; resolves when those in flight have ended. */
+	async close(): Promise<void> {
+		this.#closed = true;
+		return new Promise(resolve => {
+			this.#onEmpty = resolve;
+			this.#reportEmpty();
+		});
+	}
+
+	#reportEmpty(): void {
+		if (this.#inFlight === 0) {
+			this.#onEmpty?.();
+		}
+	}
+}
--- a/src/request/prompt.ts
+++ b/src/request/prompt.ts
@@ -3,37 +3,29 @@
  *
  * @module
  */
-import {Buffer} from 'node:buffer';
-import {createHash} from 'node:crypto';
 import {z} from 'zod';
-import {CarobquayError, errorMessage} from '../errors/errors.js';
+import {CarobquayError} from '../errors/errors.js';
+import {outlineBody, type BodyOutline, type OutlineFault} from './outline.js';
 
-/** Bytes of prompt text that one prefix hash adds. */
-export const prefixChunkBytes = 2048;
-
-/** Hexadecimal digits kept of each prefix hash. */
-const prefixHashDigits = 16;
+export {prefixChunkBytes} from './outline.js';
 
 /** Answer tokens assumed where the caller sets no limit. */
 export const defaultAnswerTokens = 256;
 
-const contentPart = z.looseObject({type: z.string(), text: z.string().optional()});
-const messageContent = z.union([z.string(), z.array(contentPart)]).nullish();
-const chatBody = z.looseObject({
+const chatFields = z.looseObject({
 	model: z.string().min(1),
-	messages: z.array(z.looseObject({
-		role: z.string(),
-		content: messageContent,
-	})).min(1),
 	stream: z.boolean().nullish(),
 	max_tokens: z.int().positive().nullish(),
 	max_completion_tokens: z.int().positive().nullish(),
+	stream_options: z.looseObject({include_usage: z.boolean().nullish()}).nullish(),
 });
 
 /** Summary of a prompt; small, whatever the prompt's length. */
 export type PromptSummary = {
 	model: string;
 	stream: boolean;
+	/** Whether a streamed answer ends with its usage. */
+	includeUsage: boolean;
 	/** Greatest number of answer tokens. */
 	maximumAnswerTokens: number;
 	/** UTF-8 bytes of all message texts. */
@@ -45,61 +37,42 @@
 };
 
 /**
- * Reads a chat-completions body.
+ * Reads a chat-completions body on the calling thread.
  *
- * Takes time in proportion to the body: run it in a worker thread for large ones.
+ * Takes time in proportion to the body: PromptReader does the same in a worker thread for large ones.
  *
  * @throws {CarobquayError} 1001 where it is not JSON, 1002 where a field has a wrong type.
  */
 export function summarizePrompt(body: Uint8Array): PromptSummary {
-	const parsed = chatBody.safeParse(parseJson(body));
+	return summarizeOutline(outlineBody(body));
+}
+
+/**
+ * Checks the small fields of an outlined body.
+ *
+ * @throws {CarobquayError} 1001 or 1002, as the outline's fault says or where a field has a wrong type.
+ */
+export function summarizeOutline(outline: BodyOutline | OutlineFault): PromptSummary {
+	if ('code' in outline) {
+		throw new CarobquayError(outline.code, {message: outline.message});
+	}
+
+	const parsed = chatFields.safeParse(outline.fields);
 	if (!parsed.success) {
 		const issue = parsed.error.issues[0]!;
 		throw new CarobquayError('1002', {message: `field "${issue.path.join('.')}": ${issue.message}`});
 	}
 
-	const {model, stream, messages, max_completion_tokens: completionTokens, max_tokens: tokens} = parsed.data;
-	const texts = messages.map(message => Buffer.from(messageText(message.content)));
+	const {
+		model, stream, stream_options: streamOptions, max_completion_tokens: completionTokens, max_tokens: tokens,
+	} = parsed.data;
 	return {
 		model,
 		stream: stream ?? false,
+		includeUsage: streamOptions?.include_usage ?? false,
 		maximumAnswerTokens: completionTokens ?? tokens ?? defaultAnswerTokens,
-		promptBytes: texts.reduce((sum, text) => sum + text.length, 0),
-		messageBytes: texts.map(text => text.length),
-		prefixHashes: hashPrefixes(messages.map((message, index) => ({role: message.role, text: texts[index]!}))),
+		promptBytes: outline.messageBytes.reduce((sum, bytes) => sum + bytes, 0),
+		messageBytes: outline.messageBytes,
+		prefixHashes: outline.prefixHashes,
 	};
 }
-
-function parseJson(body: Uint8Array): unknown {
-	try {
-		return JSON.parse(Buffer.from(body.buffer, body.byteOffset, body.byteLength).toString('utf8'));
-	} catch (error) {
-		throw new CarobquayError('1001', {message: `body of ${body.byteLength} bytes is not JSON: ${errorMessage(error)}`});
-	}
-}
-
-/** Text of a message's content, whether given whole or in parts. */
-export function messageText(content: z.infer<typeof messageContent>): string {
-	if (typeof content === 'string') {
-		return content;
-	}
-
-	return (content ?? []).map(part => part.text ?? '').join('');
-}
-
-/** Hashes each whole chunk of the messages' text together with all before it. */
-export function hashPrefixes(messages: ReadonlyArray<{role: string; text: Uint8Array}>): string[] {
-	const text = Buffer.concat(messages.flatMap(message => [Buffer.from(`${message.role}\n`), message.text]));
-	const hashes: string[] = [];
-	let previous = '';
-	for (let start = 0; start + prefixChunkBytes <= text.length; start += prefixChunkBytes) {
-		previous = createHash('sha256')
-			.update(previous)
-			.update(text.subarray(start, start + prefixChunkBytes))
-			.digest('hex')
-			.slice(0, prefixHashDigits);
-		hashes.push(previous);
-	}
-
-	return hashes;
-}
--- /dev/null
+++ b/src/request/service-runner.ts
@@ -0,0 +1,125 @@
+/**
+ * Runs one call of a plain service: chooses an instance, calls it, tries again only where that is safe.
+ *
+ * @module
+ */
+import {CarobquayError, toCarobquayError} from '../errors/errors.js';
+import type {RequestFacts, SendDecision} from '../routing/decision.js';
+import type {Observation} from '../routing/observation.js';
+import type {ServiceAnswer, ServiceClient, ServiceRequest} from '../upstream/service.js';
+import type {Dispatcher} from './dispatcher.js';
+import type {RequestLife} from './life.js';
+
+/** Attempts of one idempotent call, at different instances. */
+const maximumAttempts = 3;
+
+/** What the runner works with. */
+export type ServiceRunnerOptions = {
+	dispatcher: Dispatcher;
+	/** Finds the client of a service instance; undefined once it has gone. */
+	service: (name: string) => ServiceClient | undefined;
+};
+
+/** A call to make. */
+export type ServiceCall = {
+	life: RequestLife;
+	facts: Omit<RequestFacts, 'excluded'>;
+	call: Pick<ServiceRequest, 'method' | 'path' | 'contentType' | 'body'>;
+};
+
+/** Runs calls of plain services. */
+export class ServiceRunner {
+	readonly #options: ServiceRunnerOptions;
+
+	constructor(options: ServiceRunnerOptions) {
+		this.#options = options;
+	}
+
+	/**
+	 * Makes a call and returns its whole answer.
+	 *
+	 * @throws {CarobquayError} with the truth about whether the call ran.
+	 */
+	async run(request: ServiceCall, signal: AbortSignal): Promise<ServiceAnswer> {
+		try {
+			return await this.#attempts(request, signal);
+		} finally {
+			request.life.end();
+		}
+	}
+
+	async #attempts(request: ServiceCall, signal: AbortSignal): Promise<ServiceAnswer> {
+		const {life} = request;
+		const excluded: string[] = [];
+		for (;;) {
+			const facts: RequestFacts = {...request.facts, excluded};
+			// eslint-disable-next-line no-await-in-loop
+			const dispatch = await this.#options.dispatcher.choose(facts, signal, () => {
+				life.admit();
+				life.wait();
+			});
+			life.admit();
+			if ('kind' in dispatch) {
+				throw new CarobquayError('5900', {message: 'a call of a service cannot be divided', ran: 'no'});
+			}
+
+			try {
+				// eslint-disable-next-line no-await-in-loop
+				return await this.#attempt(request, dispatch.decision, signal);
+			} catch (error) {
+				excluded.push(dispatch.decision.upstream);
+				this.#mayTryAgain(life, toCarobquayError(error, life.ran), excluded.length, signal);
+			}
+		}
+	}
+
+	async #attempt({life, call}: ServiceCall, {upstream}: SendDecision, signal: AbortSignal): Promise<ServiceAnswer> {
+		const {requestId, idempotencyKey} = life.terms;
+		const client = this.#options.service(upstream);
+		let attempt = 0;
+		try {
+			if (client === undefined) {
+				throw new CarobquayError('4002', {message: `service instance "${upstream}" has gone`});
+			}
+
+			attempt = life.beginAttempt();
+			this.#observe({kind: 'sent', requestId, upstream});
+			const answer = await client.call({
+				...call, requestId, attempt, deadline: life.remaining, idempotencyKey,
+			}, signal);
+			life.beginStreaming();
+			this.#observe({
+				kind: 'ended', requestId, outcome: 'finished', usage: undefined,
+			});
+			return answer;
+		} catch (error) {
+			const failure = toCarobquayError(error, 'unknown');
+			if (attempt > 0 && failure.ran === 'no') {
+				life.attemptDidNotRun();
+			}
+
+			this.#observe({
+				kind: 'ended', requestId, outcome: signal.aborted ? 'cancelled' : 'failed', usage: undefined,
+			});
+			throw failure;
+		}
+	}
+
+	/** @throws {CarobquayError} The error itself where no further attempt is safe or of use. */
+
+	#mayTryAgain(life: RequestLife, error: CarobquayError, attempts: number, signal: AbortSignal): void {
+		const retryable = ['4002', '4003', '4004', '4005'].includes(error.code);
+		if (signal.aborted || !retryable || !life.mayAttempt || attempts >= maximumAttempts) {
+			const cause = signal.aborted ? toCarobquayError(signal.reason, life.ran) : error;
+			throw new CarobquayError(cause.code, {
+				message: cause.message, ran: life.ran, retryAfter: cause.retryAfter, cause,
+			});
+		}
+
+		life.wait();
+	}
+
+	#observe(observation: Observation): void {
+		this.#options.dispatcher.observe(observation);
+	}
+}
--- /dev/null
+++ b/src/request/time-limit.ts
@@ -0,0 +1,51 @@
+/**
+ * Abort signals that stand for a time limit, on the clock that tests can pause.
+ *
+ * @module
+ */
+import {CarobquayError, toCarobquayError} from '../errors/errors.js';
+
+/** Longest delay in milliseconds that the runtime's timers take. */
+const longestTimer = 2_147_483_647;
+
+/** A signal that aborts with error 4001 after a time, unless it is cleared. */
+export class TimeLimit {
+	readonly #controller = new AbortController();
+	readonly #timer: NodeJS.Timeout;
+
+	/** @param milliseconds - Time until the signal aborts. */
+	constructor(milliseconds: number, message: string) {
+		this.#timer = setTimeout(() => {
+			this.#controller.abort(new CarobquayError('4001', {message}));
+		}, Math.min(milliseconds, longestTimer));
+	}
+
+	get signal(): AbortSignal {
+		return this.#controller.signal;
+	}
+
+	clear(): void {
+		clearTimeout(this.#timer);
+	}
+}
+
+/** Resolves after a time or rejects with the signal's reason. */
+export async function pause(milliseconds: number, signal: AbortSignal): Promise<void> {
+	return new Promise((resolve, reject) => {
+		const stop = () => {
+			clearTimeout(timer);
+			reject(toCarobquayError(signal.reason, 'unknown'));
+		};
+
+		const timer = setTimeout(() => {
+			signal.removeEventListener('abort', stop);
+			resolve();
+		}, milliseconds);
+		if (signal.aborted) {
+			stop();
+			return;
+		}
+
+		signal.addEventListener('abort', stop, {once: true});
+	});
+}
--- a/src/stand-in/platform/__tests__/administration.test.ts
+++ b/src/stand-in/platform/__tests__/administration.test.ts
@@ -60,7 +60,8 @@
 	await send(standIn.address, 'DELETE', '/admin/faults');
 	await table.transact(write);
 	await table.read(['lease/a']);
-	t.deepEqual((await send(standIn.address, 'GET', '/admin/counts')).body, {
+	const counted = await send(standIn.address, 'GET', '/admin/counts');
+	t.deepEqual(counted.body, {
 		counts: [
 			{kind: 'transact', purpose: 'lease', calls: 2},
 			{kind: 'read', purpose: 'lease', calls: 1},
--- /dev/null
+++ b/src/telemetry/log.ts
@@ -0,0 +1,101 @@
+/**
+ * Log of events: one line of key=value pairs for each.
+ *
+ * @module
+ */
+import process from 'node:process';
+import loglevel, {type LogLevelDesc} from 'loglevel';
+
+/** How much an event matters. */
+export type LogLevel = 'debug' | 'info' | 'warn' | 'error';
+
+const levelOrder: readonly LogLevel[] = ['debug', 'info', 'warn', 'error'];
+
+/** Values of one event. Undefined ones are left out. */
+export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
+
+/** Where and what a log writes. */
+export type EventLogOptions = {
+	/**
+	 * Least level that is written.
+	 * @default 'info'
+	 */
+	level?: LogLevel;
+	/** Fields of every line, such as the instance's name. */
+	common?: LogFields;
+	/**
+	 * Receives each line without its line end.
+	 * @default writes to standard error
+	 */
+	write?: (line: string) => void;
+};
+
+/** Writes events as key=value lines. */
+export class EventLog {
+	readonly #logger: loglevel.Logger;
+	readonly #common: LogFields;
+	readonly #level: LogLevel;
+	readonly #write: (line: string) => void;
+
+	constructor({level = 'info', common = {}, write = writeToStandardError}: EventLogOptions = {}) {
+		this.#level = level;
+		this.#write = write;
+		this.#common = common;
+		this.#logger = loglevel.getLogger(Symbol('carobquay'));
+		this.#logger.methodFactory = () => (line: string) => {
+			write(line);
+		};
+
+		this.#logger.setLevel(level satisfies LogLevelDesc, false);
+	}
+
+	/** Whether events of a level are written; asked before costly fields are worked out. */
+	isWritten(level: LogLevel): boolean {
+		return levelOrder.indexOf(level) >= levelOrder.indexOf(this.#level);
+	}
+
+	debug(event: string, fields: LogFields = {}): void {
+		this.#logger.debug(this.#format('debug', event, fields));
+	}
+
+	info(event: string, fields: LogFields = {}): void {
+		this.#logger.info(this.#format('info', event, fields));
+	}
+
+	warn(event: string, fields: LogFields = {}): void {
+		this.#logger.warn(this.#format('warn', event, fields));
+	}
+
+	error(event: string, fields: LogFields = {}): void {
+		this.#logger.error(this.#format('error', event, fields));
+	}
+
+	/** A log that adds fields to every line. */
+	with(fields: LogFields): EventLog {
+		return new EventLog({level: this.#level, write: this.#write, common: {...this.#common, ...fields}});
+	}
+
+	#format(level: LogLevel, event: string, fields: LogFields): string {
+		return formatFields({
+			time: new Date().toISOString(), level, event, ...this.#common, ...fields,
+		});
+	}
+}
+
+function writeToStandardError(line: string): void {
+	process.stderr.write(`${line}\n`);
+}
+
+const plainValue = /^[^\s"=]+$/v;
+
+/** Fields as "key=value key=value", quoting values with spaces, quotes or equals signs. */
+export function formatFields(fields: LogFields): string {
+	return Object.entries(fields)
+		.filter(([, value]) => value !== undefined)
+		.map(([key, value]) => `${key}=${formatValue(String(value))}`)
+		.join(' ');
+}
+
+function formatValue(text: string): string {
+	return plainValue.test(text) ? text : JSON.stringify(text);
+}
--- /dev/null
+++ b/src/upstream/directory.ts
@@ -0,0 +1,260 @@
+/**
+ * Task that follows the instance list and keeps a client and the load of every upstream.
+ *
+ * @module
+ */
+import {performance} from 'node:perf_hooks';
+import type {InstanceList, ListedInstance} from '../platform/instance-list.js';
+import type {Observation, UpstreamDescription, UpstreamState} from '../routing/observation.js';
+import type {EventLog} from '../telemetry/log.js';
+import {errorMessage} from '../errors/errors.js';
+import type {EngineClient} from './engine.js';
+import type {ServiceClient} from './service.js';
+
+/** Makes clients in the wire form that the settings name. */
+export interface UpstreamConnector {
+	engine(instance: ListedInstance): ClosableEngine;
+	service(instance: ListedInstance): ClosableService;
+}
+
+/** A client with connections to close. */
+export type ClosableEngine = EngineClient & {close: () => Promise<void>};
+
+/** A client with connections to close. */
+export type ClosableService = ServiceClient & {close: () => Promise<void>};
+
+/** Receives what the directory learns. */
+export interface DirectoryListener {
+	/** Engines whose prefix cache should be read whole. */
+	readonly toResync: readonly string[];
+	upstreamsChanged(upstreams: readonly UpstreamDescription[], now: number): void;
+	observe(observation: Observation, now: number): void;
+	/** Sequence number after which to ask an engine for cache events. */
+	lastCacheSequence(upstream: string): number;
+}
+
+/** What the directory works with. */
+export type DirectoryOptions = {
+	instances: InstanceList;
+	connector: UpstreamConnector;
+	listener: DirectoryListener;
+	log: EventLog;
+	/** Time in milliseconds between readings of the instance list. */
+	listInterval: number;
+	/** Time in milliseconds between load reports asked of an upstream. */
+	loadInterval: number;
+};
+
+/** Failed load reports in a row after which an upstream counts as down. */
+const failuresUntilDown = 3;
+
+/** Share of an interval by which its beginnings are spread. */
+const jitter = 0.2;
+
+type Entry = {
+	instance: ListedInstance;
+	client: {kind: 'engine'; engine: ClosableEngine} | {kind: 'service'; service: ClosableService};
+	/** Leaving by its own load report, which may come before the list says so. */
+	leaving: boolean;
+	failures: number;
+	timer: NodeJS.Timeout | undefined;
+};
+
+/** Knows the upstreams of the instance list. */
+export class UpstreamDirectory {
+	readonly #options: DirectoryOptions;
+	readonly #entries = new Map<string, Entry>();
+	#timer: NodeJS.Timeout | undefined;
+	#stopped = false;
+	#listFailed = false;
+
+	constructor(options: DirectoryOptions) {
+		this.#options = options;
+	}
+
+	/** Reads the list once and goes on reading it. Resolves also where the list could not be read. */
+	async start(): Promise<void> {
+		await this.#readList();
+	}
+
+	async stop(): Promise<void> {
+		this.#stopped = true;
+		clearTimeout(this.#timer);
+		const entries = [...this.#entries.values()];
+		this.#entries.clear();
+		await Promise.all(entries.map(async entry => closeEntry(entry)));
+	}
+
+	/** Client of a listed engine. */
+	engine(name: string): EngineClient | undefined {
+		const client = this.#entries.get(name)?.client;
+		return client?.kind === 'engine' ? client.engine : undefined;
+	}
+
+	/** Client of a listed service instance. */
+	service(name: string): ServiceClient | undefined {
+		const client = this.#entries.get(name)?.client;
+		return client?.kind === 'service' ? client.service : undefined;
+	}
+
+	/** Listed upstreams with the state that this instance believes. */
+	get upstreams(): UpstreamDescription[] {
+		return [...this.#entries.values()].map(entry => describe(entry));
+	}
+
+	async #readList(): Promise<void> {
+		try {
+			const {instances} = await this.#options.instances.read();
+			this.#apply(instances);
+			this.#listFailed = false;
+		} catch (error) {
+			if (!this.#listFailed) {
+				this.#options.log.warn('instance-list.unavailable', {error: errorMessage(error)});
+			}
+
+			this.#listFailed = true;
+		}
+
+		if (!this.#stopped) {
+			this.#timer = setTimeout(() => {
+				void this.#readList();
+			}, spread(this.#options.listInterval));
+		}
+	}
+
+	#apply(instances: readonly ListedInstance[]): void {
+		let changed = false;
+		const listed = new Map(instances.filter(({kind}) => kind !== 'entry').map(instance => [instance.name, instance]));
+		for (const [name, entry] of this.#entries) {
+			if (listed.get(name)?.address !== entry.instance.address) {
+				changed = true;
+				this.#remove(name, entry);
+			}
+		}
+
+		for (const instance of listed.values()) {
+			changed = this.#update(instance) || changed;
+		}
+
+		if (changed) {
+			this.#publish();
+		}
+	}
+
+	/** @returns whether anything about the upstream is new. */
+	#update(instance: ListedInstance): boolean {
+		const known = this.#entries.get(instance.name);
+		if (known === undefined) {
+			this.#add(instance);
+			return true;
+		}
+
+		const changed = known.instance.state !== instance.state || JSON.stringify(known.instance.labels) !== JSON.stringify(instance.labels);
+		if (known.instance.state !== instance.state) {
+			this.#options.log.info('upstream.state', {upstream: instance.name, from: known.instance.state, to: instance.state});
+		}
+
+		known.instance = instance;
+		return changed;
+	}
+
+	#add(instance: ListedInstance): void {
+		const {connector, log} = this.#options;
+		const client: Entry['client'] = instance.kind === 'engine'
+			? {kind: 'engine', engine: connector.engine(instance)}
+			: {kind: 'service', service: connector.service(instance)};
+		const entry: Entry = {
+			instance, client, leaving: false, failures: 0, timer: undefined,
+		};
+		this.#entries.set(instance.name, entry);
+		log.info('upstream.added', {upstream: instance.name, kind: instance.kind, address: instance.address});
+		void this.#readLoad(entry);
+	}
+
+	#remove(name: string, entry: Entry): void {
+		this.#entries.delete(name);
+		this.#options.log.info('upstream.removed', {upstream: name});
+		void closeEntry(entry);
+	}
+
+	#publish(): void {
+		this.#options.listener.upstreamsChanged(this.upstreams, performance.now());
+	}
+
+	async #readLoad(entry: Entry): Promise<void> {
+		const before = describe(entry).state;
+		try {
+			await this.#askLoad(entry);
+			entry.failures = 0;
+		} catch {
+			entry.failures += 1;
+		}
+
+		if (this.#stopped || this.#entries.get(entry.instance.name) !== entry) {
+			return;
+		}
+
+		const after = describe(entry).state;
+		if (before !== after) {
+			this.#options.log.info('upstream.state', {upstream: entry.instance.name, from: before, to: after});
+			this.#publish();
+		}
+
+		entry.timer = setTimeout(() => {
+			void this.#readLoad(entry);
+		}, spread(this.#options.loadInterval));
+	}
+
+	async #askLoad(entry: Entry): Promise<void> {
+		const {listener} = this.#options;
+		const {name: upstream} = entry.instance;
+		if (entry.client.kind === 'service') {
+			const load = await entry.client.service.load();
+			entry.leaving = load.leaving;
+			listener.observe({kind: 'service-load', upstream, ...load}, performance.now());
+			return;
+		}
+
+		const {engine} = entry.client;
+		const report = await engine.load();
+		entry.leaving = report.leaving;
+		listener.observe({kind: 'load', upstream, report}, performance.now());
+		await this.#askCache(engine);
+	}
+
+	async #askCache(engine: EngineClient): Promise<void> {
+		const {listener} = this.#options;
+		const upstream = engine.name;
+		const page = await engine.cacheEvents(listener.lastCacheSequence(upstream));
+		listener.observe({kind: 'cache-events', upstream, page}, performance.now());
+		if (listener.toResync.includes(upstream)) {
+			const snapshot = await engine.cacheSnapshot();
+			listener.observe({kind: 'cache-snapshot', upstream, ...snapshot}, performance.now());
+		}
+	}
+}
+
+function describe({instance, leaving, failures}: Entry): UpstreamDescription {
+	let state: UpstreamState = instance.state === 'leaving' || leaving ? 'leaving' : 'live';
+	if (failures >= failuresUntilDown) {
+		state = 'down';
+	}
+
+	return {
+		name: instance.name,
+		kind: instance.kind === 'engine' ? 'engine' : 'service',
+		labels: instance.labels,
+		failureDomain: instance.failureDomain,
+		state,
+	};
+}
+
+async function closeEntry(entry: Entry): Promise<void> {
+	clearTimeout(entry.timer);
+	await (entry.client.kind === 'engine' ? entry.client.engine.close() : entry.client.service.close());
+}
+
+/** An interval with jitter, so that instances do not ask in step. */
+function spread(interval: number): number {
+	return interval * (1 - jitter + (2 * jitter * Math.random()));
+}
--- a/xo.config.js
+++ b/xo.config.js
@@ -18,7 +18,7 @@
 
 /** @type {import('xo').FlatXoConfig} */
 const rules = [
-	{ignores: ['dist/**']},
+	{ignores: ['dist/**', 'src/**/generated/**']},
 	{
 		rules: {
 			// Behaviour that varies is an interface with classes.
