--- a/src/stand-in/engine/engine-host.ts
+++ b/src/stand-in/engine/engine-host.ts
@@ -192,10 +192,11 @@
 	reserve({owner, promptTokens, answerTokens, lifetime}: {requestId: string; owner: string; promptTokens: number; answerTokens: number; lifetime: number}): Reservation {
 		const reservationId = `${owner}-${ulid()}`;
 		const expectedWait = this.model.expectedWait() * this.#options.timeScale;
+		const expiresAt = performance.now() + lifetime;
 		admit(this.model.reserve({
-			reservationId, promptTokens, answerTokens, expiresAt: performance.now() + lifetime,
+			reservationId, promptTokens, answerTokens, expiresAt,
 		}), 'reservation');
-		this.#expireAfter(reservationId, lifetime);
+		this.#expireAt(expiresAt, reservationId);
 		return {reservationId, expectedWait};
 	}
 
@@ -207,8 +208,9 @@
 	/** Takes cached prefixes out; they stay cached for a lifetime in milliseconds. */
 	exportCache(hashes: readonly string[], lifetime: number): CacheExport {
 		const exportId = ulid();
-		const held = this.model.holdForExport(exportId, hashes, performance.now() + lifetime);
-		this.#expireAfter(exportId, lifetime);
+		const expiresAt = performance.now() + lifetime;
+		const held = this.model.holdForExport(exportId, hashes, expiresAt);
+		this.#expireAt(expiresAt, exportId);
 		return {exportId, hashes: held, bytes: exportBytes(held)};
 	}
 
@@ -220,8 +222,9 @@
 
 		const blocksPerHash = Math.floor(tokensPerPrefixHash / this.model.parameters.blockTokens);
 		const holdId = `import ${ulid()}`;
-		admit(this.model.importCache(holdId, {hashes, blocksPerHash, expiresAt: performance.now() + lifetime}), 'import');
-		this.#expireAfter(holdId, lifetime);
+		const expiresAt = performance.now() + lifetime;
+		admit(this.model.importCache(holdId, {hashes, blocksPerHash, expiresAt}), 'import');
+		this.#expireAt(expiresAt, holdId);
 	}
 
 	/** Stops at once, as a process that dies; readers end without an end message. */
@@ -331,9 +334,10 @@
 		}
 	}
 
-	#expireAfter(id: string, lifetime: number): void {
-		this.#schedule(`expire ${id}`, lifetime, () => {
-			this.model.expire(performance.now());
+	/** Frees what expires at a time; a timer may fire a little before the clock shows that time. */
+	#expireAt(expiresAt: number, id: string): void {
+		this.#schedule(`expire ${id}`, expiresAt - performance.now(), () => {
+			this.model.expire(expiresAt);
 			this.#changed();
 		});
 		this.#changed();
--- a/src/stand-in/engine/engine-reports.ts
+++ b/src/stand-in/engine/engine-reports.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
-import {performance} from 'node:perf_hooks';
 import type {CacheEvent, CacheEventPage} from '../../upstream/engine.js';
+import {History} from '../history.js';
 import type {EngineModel} from './engine-model.js';
 import type {ModelLoad} from './model-stream.js';
 
@@ -27,38 +27,6 @@
 	lostCacheEventInterval?: number;
 };
 
-/** Values over time, kept as far back as needed. */
-class History<Value> {
-	readonly #lag: number;
-	readonly #entries: Array<{at: number; value: Value}>;
-
-	/** @param lag - Age in milliseconds of the values that are asked for. */
-	constructor(lag: number, first: Value) {
-		this.#lag = lag;
-		this.#entries = [{at: performance.now(), value: first}];
-	}
-
-	record(value: Value): void {
-		this.#prune();
-		this.#entries.push({at: performance.now(), value});
-	}
-
-	/** The value as it was before the lag. */
-	get late(): Value {
-		this.#prune();
-		return this.#entries[0]!.value;
-	}
-
-	#prune(): void {
-		const time = performance.now() - this.#lag;
-		const next = this.#entries.findIndex(entry => entry.at > time);
-		const first = next === -1 ? this.#entries.length - 1 : Math.max(0, next - 1);
-		if (first > 0) {
-			this.#entries.splice(0, first);
-		}
-	}
-}
-
 /** Reports over a model; `record` is called after each change of it. */
 export class EngineReports {
 	readonly #model: EngineModel;
--- a/src/stand-in/gated-connection.ts
+++ b/src/stand-in/gated-connection.ts
@@ -22,13 +22,15 @@
 			void this.#receive(chunk);
 		});
 		socket.on('end', () => {
-			this.push(null);
+			if (!this.#silent) {
+				this.push(null);
+			}
 		});
 		socket.on('error', error => {
-			this.destroy(error);
+			this.#leave(error);
 		});
 		socket.on('close', () => {
-			this.destroy();
+			this.#leave();
 		});
 	}
 
@@ -73,6 +75,13 @@
 		done(error);
 	}
 
+	/** Passes on that the other end left, which is not seen on a silent connection. */
+	#leave(error?: Error): void {
+		if (!this.#silent) {
+			this.destroy(error);
+		}
+	}
+
 	get #withheld(): boolean {
 		return !this.#exempt && this.#faults.frozenFor > 0;
 	}
--- a/src/upstream/http-engine.ts
+++ b/src/upstream/http-engine.ts
@@ -156,6 +156,7 @@
 			watch.touch();
 			parser.feed(decoder.decode(chunk, {stream: true}));
 			for (const message of received.splice(0)) {
+				watch.pause();
 				yield message;
 				watch.touch();
 			}
--- a/src/upstream/http-upstream.ts
+++ b/src/upstream/http-upstream.ts
@@ -36,12 +36,15 @@
 	readonly #timer: NodeJS.Timeout;
 	readonly #limit: number;
 	#stopped = false;
+	#paused = false;
 
 	/** @param limit - Time in milliseconds between touches. */
 	constructor(limit: number) {
 		this.#limit = limit;
 		this.#timer = setTimeout(() => {
-			this.#controller.abort();
+			if (!this.#paused) {
+				this.#controller.abort();
+			}
 		}, limit);
 	}
 
@@ -57,8 +60,14 @@
 		return this.#controller.signal.aborted;
 	}
 
+	/** Does not count until the next touch. */
+	pause(): void {
+		this.#paused = true;
+	}
+
 	/** Starts counting again. */
 	touch(): void {
+		this.#paused = false;
 		if (!this.#stopped && !this.expired) {
 			this.#timer.refresh();
 		}
--- /dev/null
+++ b/src/upstream/memory-engine.ts
@@ -0,0 +1,167 @@
+/**
+ * A model engine in the same process, with the faults of one across a network. It needs no sockets and runs under
+ * paused timers.
+ *
+ * @module
+ */
+import {CarobquayError, errorMessage} from '../errors/errors.js';
+import {InlinePromptSummarizer, type PromptSummarizer} from '../stand-in/engine/engine-application.js';
+import {EngineHost, type EngineHostOptions, toStreamRequest} from '../stand-in/engine/engine-host.js';
+import {EngineRefusal} from '../stand-in/engine/engine-refusal.js';
+import {Faults} from '../stand-in/faults.js';
+import type {
+	CacheEventPage, CacheExport, EngineClient, EngineMessage, EngineOrder, GenerateRequest, LoadReport, Reservation, StreamSummary,
+} from './engine.js';
+import {MemoryLink} from './memory-link.js';
+
+/** Settings of an engine in memory. */
+export type MemoryEngineOptions = EngineHostOptions & {
+	name: string;
+	/**
+	 * Time in milliseconds without any message after which a call counts as silent.
+	 * @default 5000
+	 */
+	silenceLimit?: number;
+	/**
+	 * Faults to show.
+	 * @default no faults
+	 */
+	faults?: Faults;
+	/**
+	 * Reader of prompts.
+	 * @default one that works in the calling thread
+	 */
+	summarizer?: PromptSummarizer;
+};
+
+/** An engine in memory. */
+export class MemoryEngine implements EngineClient {
+	readonly name: string;
+	readonly faults: Faults;
+	readonly #options: MemoryEngineOptions;
+	readonly #summarizer: PromptSummarizer;
+	readonly #link: MemoryLink;
+	#host: EngineHost;
+
+	constructor(options: MemoryEngineOptions) {
+		const {name, faults = new Faults(), silenceLimit = 5000, summarizer = new InlinePromptSummarizer()} = options;
+		this.name = name;
+		this.faults = faults;
+		this.#options = options;
+		this.#summarizer = summarizer;
+		this.#link = new MemoryLink({
+			name, faults, silenceLimit, toError: error => toEngineError(name, error),
+		});
+		this.#host = this.#start();
+	}
+
+	/** The engine itself, for looking at it and for telling it to leave. */
+	get host(): EngineHost {
+		return this.#host;
+	}
+
+	/** Dies as a process does: all streams, memory and connections are lost, and new connections are refused. */
+	kill(): void {
+		this.#host.close();
+		this.faults.apply({availability: 'refusing', cut: true});
+	}
+
+	/** Starts again as a new incarnation, with nothing of the old one. */
+	restart(): void {
+		this.#host.close();
+		this.faults.apply({cut: true});
+		this.#host = this.#start();
+		this.faults.clear();
+	}
+
+	async * generate({body, ...request}: GenerateRequest, signal: AbortSignal): AsyncGenerator<EngineMessage> {
+		yield * this.#link.stream(async () => {
+			const summary = await this.#summarizer.summarize(body);
+			return this.#host.open(toStreamRequest({...request, body}, summary));
+		}, isEnd, signal);
+	}
+
+	async * resume(streamId: string, offset: number, signal: AbortSignal): AsyncGenerator<EngineMessage> {
+		yield * this.#link.stream(async () => this.#host.resume(streamId, offset), isEnd, signal);
+	}
+
+	async cancel(streamId: string, signal?: AbortSignal): Promise<void> {
+		await this.#call(host => {
+			host.cancel(streamId);
+		}, signal);
+	}
+
+	async cancelRequest(requestId: string, attempt: number, signal?: AbortSignal): Promise<void> {
+		await this.#call(host => {
+			host.cancelRequest(requestId, attempt);
+		}, signal);
+	}
+
+	async streams(signal?: AbortSignal): Promise<StreamSummary[]> {
+		return this.#call(host => host.streams(), signal);
+	}
+
+	async load(signal?: AbortSignal): Promise<LoadReport> {
+		return this.#call(host => host.load(), signal);
+	}
+
+	async cacheEvents(after: number, signal?: AbortSignal): Promise<CacheEventPage> {
+		return this.#call(host => host.reports.cacheEvents(after), signal);
+	}
+
+	async cacheSnapshot(signal?: AbortSignal): Promise<{incarnation: string; last: number; hashes: readonly string[]}> {
+		return this.#call(host => host.reports.cacheSnapshot(), signal);
+	}
+
+	async reserve(request: Parameters<EngineClient['reserve']>[0], signal?: AbortSignal): Promise<Reservation> {
+		return this.#call(host => host.reserve(request), signal);
+	}
+
+	async release(reservationId: string, signal?: AbortSignal): Promise<void> {
+		await this.#call(host => {
+			host.release(reservationId);
+		}, signal);
+	}
+
+	async order(order: EngineOrder, signal?: AbortSignal): Promise<void> {
+		await this.#call(async host => host.orders.take(order), signal);
+	}
+
+	async exportCache(hashes: readonly string[], _owner: string, lifetime: number, signal?: AbortSignal): Promise<CacheExport> {
+		return this.#call(host => host.exportCache(hashes, lifetime), signal);
+	}
+
+	async importCache(cache: CacheExport, _owner: string, lifetime: number, signal?: AbortSignal): Promise<void> {
+		await this.#call(host => {
+			host.importCache(cache, lifetime);
+		}, signal);
+	}
+
+	/** Stops the engine and its timers. */
+	async close(): Promise<void> {
+		this.#host.close();
+		this.faults.clear();
+	}
+
+	#start(): EngineHost {
+		return new EngineHost(this.#options, async () => this.faults.thawed());
+	}
+
+	async #call<Result>(work: (host: EngineHost) => Result | Promise<Result>, signal: AbortSignal | undefined): Promise<Result> {
+		return this.#link.call(async () => work(this.#host), {signal});
+	}
+}
+
+function isEnd(message: EngineMessage): boolean {
+	return message.kind === 'end';
+}
+
+/** The error that the HTTP client would throw for what the engine throws. */
+function toEngineError(name: string, error: unknown): CarobquayError {
+	const message = `engine "${name}" refused, ${errorMessage(error)}`;
+	if (error instanceof EngineRefusal) {
+		return new CarobquayError(error.reason === 'stale-fencing-number' ? '4006' : '4005', {message, cause: error});
+	}
+
+	return new CarobquayError(error instanceof CarobquayError ? '4005' : '4003', {message, cause: error});
+}
