--- a/bench/policy/event-queue.ts
+++ b/bench/policy/event-queue.ts
@@ -51,24 +51,31 @@
 	#pop(): Event {
 		const first = this.#heap[0]!;
 		const last = this.#heap.pop()!;
-		const {length} = this.#heap;
-		let index = 0;
-		while (length > 0) {
-			let child = (2 * index) + 1;
-			if (child + 1 < length && isBefore(this.#heap[child + 1]!, this.#heap[child]!)) {
-				child++;
-			}
+		if (this.#heap.length > 0) {
+			this.#sink(last);
+		}
 
-			if (child >= length || !isBefore(this.#heap[child]!, last)) {
-				this.#heap[index] = last;
-				break;
-			}
+		return first;
+	}
 
+	/** Puts an event in at the top and lets it sink to its place. */
+	#sink(event: Event): void {
+		const {length} = this.#heap;
+		let index = 0;
+		let child = this.#earlierChild(index);
+		while (child < length && isBefore(this.#heap[child]!, event)) {
 			this.#heap[index] = this.#heap[child]!;
 			index = child;
+			child = this.#earlierChild(index);
 		}
 
-		return first;
+		this.#heap[index] = event;
+	}
+
+	#earlierChild(index: number): number {
+		const child = (2 * index) + 1;
+		const hasSecond = child + 1 < this.#heap.length;
+		return hasSecond && isBefore(this.#heap[child + 1]!, this.#heap[child]!) ? child + 1 : child;
 	}
 }
 
