--- a/src/platform/memory/memory-weight-store.ts
+++ b/src/platform/memory/memory-weight-store.ts
@@ -36,7 +36,7 @@
 
 	constructor({admissionsPerSecond = defaultAdmissionsPerSecond, entries = [], ...faults}: MemoryWeightStoreOptions = {}) {
 		this.faults = new PlatformFaults({timeout: defaultTimeout, ...faults});
-		this.#admissions = new TokenBucket({rate: admissionsPerSecond});
+		this.#admissions = new TokenBucket({rate: admissionsPerSecond, burst: Math.max(1, admissionsPerSecond)});
 		for (const entry of entries) {
 			this.declare(entry);
 		}
--- a/src/platform/token-bucket.ts
+++ b/src/platform/token-bucket.ts
@@ -77,11 +77,6 @@
 		return Math.max(0, (count - this.#tokens) / this.rate * second);
 	}
 
-	/** Gives reserved tokens back that were not used. */
-	giveBack(count = 1): void {
-		this.#tokens = Math.min(this.#burst, this.#tokens + count);
-	}
-
 	/** Drops all held tokens, so that a full bucket does not become one burst. */
 	drain(): void {
 		this.#refill();
