feat(platform): prove settled writes under a second asker and a paused writer

Cause: a change may be settled by another instance while its writer still waits, and a writer may be paused until its marker is gone. Change: the property test has a second writer ask for each change; a test pauses the writer for 11 minutes before the fence; one default time limit for all twins; the error for unknown weights no longer comes from the twin. Ruled out: nothing new.

--- a/src/platform/__tests__/settled-write.test.ts
+++ b/src/platform/__tests__/settled-write.test.ts
@@ -6,8 +6,10 @@
 import {ulid} from 'ulid';
 import {type FaultSettings} from '../memory/faults.js';
 import {MemoryTable, type MemoryTableOptions} from '../memory/memory-table.js';
-import {type SettledOutcome, SettledWriter, type SettledWriterOptions} from '../settled-write.js';
-import {type Transaction} from '../table.js';
+import {
+	type ChangeState, type SettledOutcome, SettledWriter, type SettledWriterOptions,
+} from '../settled-write.js';
+import {type Transaction, type TransactionResult} from '../table.js';
 
 const toFake = ['setTimeout', 'clearTimeout', 'performance', 'Date'] as const;
 
@@ -115,7 +117,40 @@
 	t.is(table.inspect('change/').length, 1);
 });
 
-type Step = {gap: number; kind: 'create' | 'increment'};
+/** A table whose client is paused for 11 minutes before its second transaction, the fence. */
+class PausedClient extends MemoryTable {
+	#transactions = 0;
+
+	override async transact(transaction: Transaction): Promise<TransactionResult> {
+		this.#transactions++;
+		if (this.#transactions === 2) {
+			await new Promise(resolve => {
+				setTimeout(resolve, 660_000);
+			});
+		}
+
+		return super.transact(transaction);
+	}
+}
+
+test.serial('a writer that was paused until the marker was deleted does not tell the change as fenced', async t => {
+	const clock = fakeTimers.install({toFake: [...toFake], now: 1_000_000_000_000});
+	t.teardown(() => {
+		clock.uninstall();
+	});
+	const table = new PausedClient();
+	table.faults.set({loseAnswers: 1, lateEffect: 100});
+	const running = new SettledWriter(table).run(create('a'));
+	await clock.tickAsync(601_000);
+	t.is(await new SettledWriter(table).sweep(), 1);
+	await clock.tickAsync(longAfter * 2);
+	const {outcome} = await running;
+	t.is(outcome, 'unknown');
+	t.is(table.inspect('a').length, 1);
+});
+
+/** `inquiry`: time in milliseconds after which another writer asks how the change ended. */
+type Step = {gap: number; kind: 'create' | 'increment'; inquiry: number};
 type Scenario = {options: MemoryTableOptions; faults: Partial<FaultSettings>; outage: {from: number; length: number}; steps: Step[]};
 
 const scenarios: fc.Arbitrary<Scenario> = fc.record({
@@ -127,7 +162,7 @@
 		loseRequests: fc.nat({max: 3}),
 	}),
 	outage: fc.record({from: fc.nat({max: 1000}), length: fc.constantFrom(0, 500, 15_000)}),
-	steps: fc.array(fc.record({gap: fc.nat({max: 300}), kind: fc.constantFrom('create' as const, 'increment' as const)}), {minLength: 1, maxLength: 12}),
+	steps: fc.array(fc.record({gap: fc.nat({max: 300}), kind: fc.constantFrom('create' as const, 'increment' as const), inquiry: fc.constantFrom(0, 3, 500, 6000)}), {minLength: 1, maxLength: 12}),
 });
 
 /** Writes a step's own item, and counts it in a shared item where the step says so. */
@@ -141,6 +176,13 @@
 	return {conditions: [{key: 'counter', version: counter?.version ?? 0}], writes: [own, put('counter', Number(counter?.value ?? 0) + 1)]};
 }
 
+async function inquire(writer: SettledWriter, changeId: string, wait: number): Promise<ChangeState> {
+	await new Promise(resolve => {
+		setTimeout(resolve, wait);
+	});
+	return writer.settle(changeId);
+}
+
 async function runScenario({options, faults, outage, steps}: Scenario) {
 	const clock = fakeTimers.install({toFake: [...toFake]});
 	try {
@@ -154,15 +196,18 @@
 		setTimeout(() => {
 			table.faults.set({down: false});
 		}, outage.from + outage.length);
+		const other = new SettledWriter(table, {backoff: {random: () => uniformFloat64(generator)}});
 		const running: Array<Promise<SettledOutcome>> = [];
+		const inquiries: Array<Promise<ChangeState>> = [];
 		for (const [index, step] of steps.entries()) {
-			running.push(writer.run(transactionOf(step, index, table)));
+			const changeId = ulid();
+			running.push(writer.run(transactionOf(step, index, table), {changeId}));
+			inquiries.push(inquire(other, changeId, step.inquiry));
 			await clock.tickAsync(step.gap); // eslint-disable-line no-await-in-loop
 		}
 
 		await clock.tickAsync(longAfter);
-		const outcomes = await Promise.all(running);
-		return {outcomes, table};
+		return {outcomes: await Promise.all(running), inquired: await Promise.all(inquiries), table};
 	} finally {
 		clock.uninstall();
 	}
@@ -171,13 +216,17 @@
 test.serial('what is told as committed is in the table in the end, and what is told as not committed never is', async t => {
 	const seen = new Map<string, number>();
 	await fc.assert(fc.asyncProperty(scenarios, async scenario => {
-		const {outcomes, table} = await runScenario(scenario);
+		const {outcomes, inquired, table} = await runScenario(scenario);
 		const present = new Set(table.inspect('step/').map(item => item.key));
 		for (const [index, {outcome}] of outcomes.entries()) {
 			seen.set(outcome, (seen.get(outcome) ?? 0) + 1);
 			if (outcome !== 'unknown' && present.has(`step/${index}`) !== (outcome === 'committed')) {
 				throw new Error(`step ${index} was told as ${outcome}`);
 			}
+
+			if (inquired[index] !== 'unknown' && present.has(`step/${index}`) !== (inquired[index] === 'committed')) {
+				throw new Error(`step ${index} was told to another writer as ${inquired[index]}`);
+			}
 		}
 
 		const increments = scenario.steps.filter((step, index) => step.kind === 'increment' && present.has(`step/${index}`));
--- a/src/platform/failure.ts
+++ b/src/platform/failure.ts
@@ -69,6 +69,11 @@
 		.exhaustive();
 }
 
+/** Returns the error for an entry that the weight store does not hold, 1004. */
+export function unknownWeights(name: string, version: string): CarobquayError {
+	return new CarobquayError('1004', {message: `weight store: no entry "${name}" of version "${version}"`});
+}
+
 function numbered(code: '5001' | '5002' | '5003' | '5005' | '5006' | '5007', service: string, failure: PlatformFailure): CarobquayError {
 	return new CarobquayError(code, {message: `${service}: ${failure.message}`, cause: failure});
 }
--- a/src/platform/http/http-weight-store.ts
+++ b/src/platform/http/http-weight-store.ts
@@ -4,8 +4,7 @@
  * @module
  */
 import {z} from 'zod';
-import {toWeightsError} from '../failure.js';
-import {unknownWeights} from '../memory/memory-weight-store.js';
+import {toWeightsError, unknownWeights} from '../failure.js';
 import {type WeightEntry, type WeightStore} from '../weight-store.js';
 import {
 	assertStatus, HttpChannel, type HttpChannelOptions, parseAnswer,
--- a/src/platform/memory/faults.ts
+++ b/src/platform/memory/faults.ts
@@ -13,6 +13,9 @@
 /** Seed of the generator where none is given. */
 const defaultSeed = 1;
 
+/** Time in milliseconds that a caller waits for an answer where nothing else is set. */
+const defaultTimeout = 2000;
+
 /** Greatest time in milliseconds between two looks at whether a freeze has ended. */
 const frozenPoll = 50;
 
@@ -55,8 +58,8 @@
 	 */
 	seed?: number;
 	/**
-	 * Time in milliseconds after which a caller stops waiting; the call may still take effect.
-	 * @default undefined: callers wait without limit
+	 * Time in milliseconds after which a caller stops waiting; the call may still take effect. Infinity sets no limit.
+	 * @default 2000
 	 */
 	timeout?: number;
 };
@@ -73,9 +76,9 @@
 export class PlatformFaults {
 	#settings = noFaults;
 	readonly #generator;
-	readonly #timeout: number | undefined;
+	readonly #timeout: number;
 
-	constructor({seed = defaultSeed, timeout}: FaultOptions = {}) {
+	constructor({seed = defaultSeed, timeout = defaultTimeout}: FaultOptions = {}) {
 		this.#generator = xoroshiro128plus(seed);
 		this.#timeout = timeout;
 	}
@@ -165,7 +168,8 @@
 				reject(new PlatformFailure('unknown', 'no answer in time'));
 			};
 
-			const timer = this.#timeout === undefined ? undefined : setTimeout(giveUp, this.#timeout);
+			// SetTimeout takes Infinity as no time at all.
+			const timer = Number.isFinite(this.#timeout) ? setTimeout(giveUp, this.#timeout) : undefined;
 			signal?.addEventListener('abort', giveUp, {once: true});
 			void settle(answer, {resolve, reject}, () => {
 				clearTimeout(timer);
--- a/src/platform/memory/memory-instance-list.ts
+++ b/src/platform/memory/memory-instance-list.ts
@@ -8,7 +8,6 @@
 import {type InstanceList, type InstanceSnapshot, type ListedInstance} from '../instance-list.js';
 import {CallCounts} from './call-counts.js';
 import {type FaultOptions, PlatformFaults} from './faults.js';
-import {defaultTimeout} from './memory-table.js';
 
 /** Lag in milliseconds where none is set. */
 const defaultLag = 1000;
@@ -43,7 +42,7 @@
 	#revision = 1;
 
 	constructor({lag = defaultLag, instances = [], ...faults}: MemoryInstanceListOptions = {}) {
-		this.faults = new PlatformFaults({timeout: defaultTimeout, ...faults});
+		this.faults = new PlatformFaults(faults);
 		this.lag = lag;
 		for (const instance of instances) {
 			this.#instances.set(instance.name, structuredClone(instance));
--- a/src/platform/memory/memory-objects.ts
+++ b/src/platform/memory/memory-objects.ts
@@ -7,7 +7,6 @@
 import {type ObjectStore, type PutOptions} from '../object-store.js';
 import {CallCounts, purposeOfKey} from './call-counts.js';
 import {type FaultOptions, PlatformFaults} from './faults.js';
-import {defaultTimeout} from './memory-table.js';
 import {SortedKeys} from './sorted-keys.js';
 
 /** An object store that forgets with its process. */
@@ -18,7 +17,7 @@
 	readonly #keys = new SortedKeys();
 
 	constructor(options: FaultOptions = {}) {
-		this.faults = new PlatformFaults({timeout: defaultTimeout, ...options});
+		this.faults = new PlatformFaults(options);
 	}
 
 	async put(key: string, bytes: Uint8Array, {onlyIfAbsent = false}: PutOptions = {}, signal?: AbortSignal): Promise<boolean> {
--- a/src/platform/memory/memory-table.ts
+++ b/src/platform/memory/memory-table.ts
@@ -12,9 +12,6 @@
 import {type FaultOptions, PlatformFaults} from './faults.js';
 import {SortedKeys} from './sorted-keys.js';
 
-/** Time in milliseconds that a caller waits for an answer where nothing else is set. */
-export const defaultTimeout = 2000;
-
 /** Calls or items per second. */
 const defaultWritesPerSecond = 300;
 const defaultReadsPerSecond = 2000;
@@ -54,7 +51,7 @@
 	constructor({
 		writesPerSecond = defaultWritesPerSecond, readsPerSecond = defaultReadsPerSecond, rateUnit = 'call', ...faults
 	}: MemoryTableOptions = {}) {
-		this.faults = new PlatformFaults({timeout: defaultTimeout, ...faults});
+		this.faults = new PlatformFaults(faults);
 		this.#writes = new TokenBucket({rate: writesPerSecond});
 		this.#reads = new TokenBucket({rate: readsPerSecond});
 		this.#rateUnit = rateUnit;
--- a/src/platform/memory/memory-weight-store.ts
+++ b/src/platform/memory/memory-weight-store.ts
@@ -3,13 +3,13 @@
  *
  * @module
  */
-import {CarobquayError} from '../../errors/errors.js';
-import {type CallKind, PlatformFailure, toWeightsError} from '../failure.js';
+import {
+	type CallKind, PlatformFailure, toWeightsError, unknownWeights,
+} from '../failure.js';
 import {TokenBucket} from '../token-bucket.js';
 import {type WeightEntry, type WeightStore} from '../weight-store.js';
 import {CallCounts} from './call-counts.js';
 import {type FaultOptions, PlatformFaults} from './faults.js';
-import {defaultTimeout} from './memory-table.js';
 
 /** Admissions per second where no rate is set. */
 const defaultAdmissionsPerSecond = 2;
@@ -35,7 +35,7 @@
 	readonly #admissions: TokenBucket;
 
 	constructor({admissionsPerSecond = defaultAdmissionsPerSecond, entries = [], ...faults}: MemoryWeightStoreOptions = {}) {
-		this.faults = new PlatformFaults({timeout: defaultTimeout, ...faults});
+		this.faults = new PlatformFaults(faults);
 		this.#admissions = new TokenBucket({rate: admissionsPerSecond, burst: Math.max(1, admissionsPerSecond)});
 		for (const entry of entries) {
 			this.declare(entry);
@@ -77,11 +77,6 @@
 	}
 }
 
-/** The error for an entry that the store does not hold. */
-export function unknownWeights(name: string, version: string): CarobquayError {
-	return new CarobquayError('1004', {message: `weight store: no entry "${name}" of version "${version}"`});
-}
-
 function entryKey(name: string, version: string): string {
 	return JSON.stringify([name, version]);
 }
--- a/src/platform/weight-store.ts
+++ b/src/platform/weight-store.ts
@@ -15,7 +15,7 @@
 	bytes: number;
 };
 
-/** The weight store; throws CarobquayError 5006 (rate limit) or 5007 (unavailable). */
+/** The weight store; throws CarobquayError 5006 (rate limit), 5007 (unavailable) or 1004 (no such entry). */
 export interface WeightStore {
 	list(signal?: AbortSignal): Promise<WeightEntry[]>;
 	/** Asks for leave to load one entry once; counts against the store's rate. */
--- a/src/stand-in/platform/instance-list.ts
+++ b/src/stand-in/platform/instance-list.ts
@@ -19,7 +19,7 @@
 
 /** Starts an instance list stand-in; PUT /admin/instances/NAME declares an instance, DELETE removes it. */
 export async function startInstanceListStandIn(options: MemoryInstanceListOptions & ServerOptions = {}): Promise<RunningStandIn<MemoryInstanceList>> {
-	const instances = new MemoryInstanceList({...options, timeout: undefined});
+	const instances = new MemoryInstanceList({...options, timeout: Number.POSITIVE_INFINITY});
 	return serveStandIn(instances, application => {
 		application.get('/v1/instances', async context => context.json(await instances.read()));
 		application.put('/admin/instances/:name', async context => {
--- a/src/stand-in/platform/object-store.ts
+++ b/src/stand-in/platform/object-store.ts
@@ -12,7 +12,7 @@
 
 /** Starts an object store stand-in. */
 export async function startObjectStoreStandIn(options: FaultOptions & ServerOptions = {}): Promise<RunningStandIn<MemoryObjects>> {
-	const objects = new MemoryObjects({...options, timeout: undefined});
+	const objects = new MemoryObjects({...options, timeout: Number.POSITIVE_INFINITY});
 	return serveStandIn(objects, application => {
 		application.get('/v1/objects', async context => {
 			const {prefix = '', after, limit} = context.req.query();
--- a/src/stand-in/platform/table.ts
+++ b/src/stand-in/platform/table.ts
@@ -20,7 +20,7 @@
 
 /** Starts a table stand-in; an unanswered call lasts as long as its caller waits. */
 export async function startTableStandIn(options: MemoryTableOptions & ServerOptions = {}): Promise<RunningStandIn<MemoryTable>> {
-	const table = new MemoryTable({...options, timeout: undefined});
+	const table = new MemoryTable({...options, timeout: Number.POSITIVE_INFINITY});
 	return serveStandIn(table, application => {
 		application.post('/v1/read', async context => {
 			const {keys} = readBody.parse(await context.req.json());
--- a/src/stand-in/platform/weight-store.ts
+++ b/src/stand-in/platform/weight-store.ts
@@ -14,7 +14,7 @@
 
 /** Starts a weight store stand-in; PUT /admin/weights declares an entry. */
 export async function startWeightStoreStandIn(options: MemoryWeightStoreOptions & ServerOptions = {}): Promise<RunningStandIn<MemoryWeightStore>> {
-	const weights = new MemoryWeightStore({...options, timeout: undefined});
+	const weights = new MemoryWeightStore({...options, timeout: Number.POSITIVE_INFINITY});
 	return serveStandIn(weights, application => {
 		application.get('/v1/weights', async context => context.json({entries: await weights.list()}));
 		application.post('/v1/admissions', async context => {
