--- a/src/platform/__tests__/contract.test.ts
+++ b/src/platform/__tests__/contract.test.ts
@@ -10,6 +10,7 @@
 import {
 	openMemoryPlatform, openPlatform, type Platform, type MemoryPlatform,
 } from '../platform.js';
+import {put, told} from './support.js';
 
 /** Time limit in milliseconds of a call, far above any answer's time, and a short one for calls that shall reach it. */
 const ampleTimeout = 10_000;
@@ -55,7 +56,6 @@
 	},
 };
 
-const put = (key: string, value: unknown) => ({kind: 'put', key, value} as const);
 const sleep = async (duration: number) => new Promise(resolve => {
 	setTimeout(resolve, duration);
 });
@@ -226,15 +226,6 @@
 	},
 ];
 
-async function told(call: () => Promise<unknown>): Promise<string> {
-	try {
-		await call();
-		return 'done';
-	} catch (error) {
-		return error instanceof CarobquayError ? `${error.code} ${error.ran}` : String(error);
-	}
-}
-
 for (const [kind, open] of Object.entries(kinds)) {
 	for (const {name, expected, run} of behaviours) {
 		test(`${kind}: ${name}`, async t => {
@@ -250,7 +241,7 @@
 			t.teardown(close);
 			const under = async (faulty: {faults: MemoryPlatform['table']['faults']}, call: () => Promise<unknown>) => {
 				faulty.faults.set(fault());
-				const result = await told(call);
+				const result = await told(call());
 				await sleep(effectAfter);
 				faulty.faults.clear();
 				return result;
--- a/src/platform/__tests__/group-commit.test.ts
+++ b/src/platform/__tests__/group-commit.test.ts
@@ -1,4 +1,3 @@
-import fakeTimers from '@sinonjs/fake-timers';
 import test from 'ava';
 import fc from 'fast-check';
 import {GroupCommit, type GroupCommitOptions} from '../group-commit.js';
@@ -6,21 +5,16 @@
 import {MemoryTable} from '../memory/memory-table.js';
 import {SettledWriter} from '../settled-write.js';
 import {type Transaction} from '../table.js';
-
-const toFake = ['setTimeout', 'clearTimeout', 'performance', 'Date'] as const;
-
-/** Time in milliseconds in which every transaction of these tests has ended. */
-const longAfter = 60_000;
-
-const put = (key: string, value: unknown = 1) => ({kind: 'put', key, value} as const);
-const create = (key: string): Transaction => ({conditions: [{key, version: 0}], writes: [put(key)]});
+import {
+	create, longAfter, pauseClock, put,
+} from './support.js';
 
 /** `before`: keys that are in the table already. */
 type Circumstances = {faults?: Partial<FaultSettings>; options?: GroupCommitOptions; before?: string[]};
 
 /** Submits transactions at once under a paused clock. */
 async function commitAll(transactions: Transaction[], {faults = {}, options = {}, before = []}: Circumstances = {}) {
-	const clock = fakeTimers.install({toFake: [...toFake]});
+	const clock = pauseClock();
 	try {
 		const table = new MemoryTable();
 		await table.transact({conditions: [], writes: before.map(key => put(key))});
--- a/src/platform/__tests__/settled-write.test.ts
+++ b/src/platform/__tests__/settled-write.test.ts
@@ -1,4 +1,3 @@
-import fakeTimers from '@sinonjs/fake-timers';
 import test from 'ava';
 import fc from 'fast-check';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
@@ -10,25 +9,17 @@
 	type ChangeState, type SettledOutcome, SettledWriter, type SettledWriterOptions,
 } from '../settled-write.js';
 import {type Transaction, type TransactionResult} from '../table.js';
-
-const toFake = ['setTimeout', 'clearTimeout', 'performance', 'Date'] as const;
-
-/** Time in milliseconds in which every call and late effect of these tests has ended. */
-const longAfter = 60_000;
-
-const put = (key: string, value: unknown) => ({kind: 'put', key, value} as const);
-const create = (key: string): Transaction => ({conditions: [{key, version: 0}], writes: [put(key, 1)]});
+import {
+	create, longAfter, pauseClock, pauseClockFor, put,
+} from './support.js';
 
 /** Runs one write under a paused clock. */
-async function runUnderFault(fault: Partial<FaultSettings>, {clearAfter = longAfter, options = {}}: {clearAfter?: number; options?: SettledWriterOptions} = {}) {
-	const clock = fakeTimers.install({toFake: [...toFake]});
+async function runUnderFault(fault: Partial<FaultSettings>) {
+	const clock = pauseClock();
 	try {
 		const table = new MemoryTable();
-		const writer = new SettledWriter(table, options);
+		const writer = new SettledWriter(table);
 		table.faults.set(fault);
-		setTimeout(() => {
-			table.faults.clear();
-		}, clearAfter);
 		const running = writer.run(create('a'));
 		await clock.tickAsync(longAfter * 2);
 		return {outcome: await running, present: table.inspect('a').length > 0, writes: table.counts.total('transact', 'a')};
@@ -37,7 +28,7 @@
 	}
 }
 
-const cases: Array<{name: string; fault: Partial<FaultSettings>; clearAfter?: number; outcome: SettledOutcome['outcome']; present: boolean}> = [
+const cases: Array<{name: string; fault: Partial<FaultSettings>; outcome: SettledOutcome['outcome']; present: boolean}> = [
 	{
 		name: 'no fault', fault: {}, outcome: 'committed', present: true,
 	},
@@ -70,9 +61,9 @@
 	},
 ];
 
-for (const {name, fault, clearAfter, outcome, present} of cases) {
+for (const {name, fault, outcome, present} of cases) {
 	test.serial(`settled write, ${name}: ${outcome}, sent once`, async t => {
-		const seen = await runUnderFault(fault, {clearAfter});
+		const seen = await runUnderFault(fault);
 		t.is(seen.outcome.outcome, outcome);
 		t.is(seen.present, present);
 		t.is(seen.writes, 1);
@@ -80,10 +71,7 @@
 }
 
 test.serial('an unknown change is settled later by its id, by another writer too', async t => {
-	const clock = fakeTimers.install({toFake: [...toFake], now: 1_000_000_000_000});
-	t.teardown(() => {
-		clock.uninstall();
-	});
+	const clock = pauseClockFor(t);
 	const table = new MemoryTable();
 	table.faults.set({frozenUntil: 30_000});
 	const running = new SettledWriter(table).run(create('a'));
@@ -99,10 +87,7 @@
 });
 
 test.serial('markers are deleted after their retention, by later writes and by a sweep', async t => {
-	const clock = fakeTimers.install({toFake: [...toFake], now: 1_000_000_000_000});
-	t.teardown(() => {
-		clock.uninstall();
-	});
+	const clock = pauseClockFor(t);
 	const table = new MemoryTable();
 	const writer = new SettledWriter(table, {retention: 1000});
 	for (const key of ['a', 'b', 'c', 'd', 'e', 'f']) {
@@ -134,10 +119,7 @@
 }
 
 test.serial('a writer that was paused until the marker was deleted does not tell the change as fenced', async t => {
-	const clock = fakeTimers.install({toFake: [...toFake], now: 1_000_000_000_000});
-	t.teardown(() => {
-		clock.uninstall();
-	});
+	const clock = pauseClockFor(t);
 	const table = new PausedClient();
 	table.faults.set({loseAnswers: 1, lateEffect: 100});
 	const running = new SettledWriter(table).run(create('a'));
@@ -184,7 +166,7 @@
 }
 
 async function runScenario({options, faults, outage, steps}: Scenario) {
-	const clock = fakeTimers.install({toFake: [...toFake]});
+	const clock = pauseClock();
 	try {
 		const table = new MemoryTable(options);
 		const generator = xoroshiro128plus(1);
--- a/src/platform/__tests__/table-budget.test.ts
+++ b/src/platform/__tests__/table-budget.test.ts
@@ -1,17 +1,13 @@
-import fakeTimers from '@sinonjs/fake-timers';
 import test from 'ava';
-import {CarobquayError} from '../../errors/errors.js';
 import {MemoryTable} from '../memory/memory-table.js';
 import {BudgetedTable, TableBudget} from '../table-budget.js';
+import {pauseClockFor, put, told} from './support.js';
 
 const purposes = {claim: {writes: 10, reads: 20}, ledger: {writes: 5, reads: 5}};
-const transaction = {conditions: [], writes: [{kind: 'put', key: 'a', value: 1} as const]};
+const transaction = {conditions: [], writes: [put('a')]};
 
 function open(t: {teardown: (callback: () => void) => void}, options: {common?: {writes: number; reads: number}; outageJitter?: number} = {}) {
-	const clock = fakeTimers.install({toFake: ['setTimeout', 'clearTimeout', 'performance', 'Date']});
-	t.teardown(() => {
-		clock.uninstall();
-	});
+	const clock = pauseClockFor(t);
 	const table = new MemoryTable();
 	const budget = new TableBudget({purposes, random: () => 0.5, ...options});
 	return {
@@ -19,8 +15,6 @@
 	};
 }
 
-const told = async (call: Promise<unknown>) => call.then(() => 'done', (error: unknown) => error instanceof CarobquayError ? error.code : String(error));
-
 /** All calls come at once; a budget of 10 writes per second holds 2 at the start and makes a call wait for 1 s at most. */
 const cases: Array<{name: string; calls: number; common?: {writes: number; reads: number}; sentAtOnce: number; sent: number; refused: number}> = [
 	{
@@ -47,7 +41,7 @@
 		await clock.tickAsync(5000);
 		const codes = await results;
 		t.is(codes.filter(code => code === 'done').length, sent);
-		t.is(codes.filter(code => code === '5003').length, refused);
+		t.is(codes.filter(code => code === '5003 no').length, refused);
 		t.like(budget.use('claim').write, {calls: sent, refused, delayed: sent - sentAtOnce});
 		t.is(budget.use('ledger').write.calls, 1);
 	});
@@ -56,14 +50,14 @@
 test.serial('in an outage calls wait with jitter, and the return starts with an empty budget', async t => {
 	const {clock, table, budget, claim} = open(t, {outageJitter: 400});
 	table.faults.set({down: true});
-	t.is(await told(claim.transact(transaction)), '5001');
+	t.is(await told(claim.transact(transaction)), '5001 no');
 	t.true(budget.outage);
 
 	const second = told(claim.transact(transaction));
 	await clock.tickAsync(199);
 	t.is(table.counts.total('transact'), 1);
 	await clock.tickAsync(1);
-	t.is(await second, '5001');
+	t.is(await second, '5001 no');
 
 	await clock.tickAsync(10_000);
 	table.faults.clear();
@@ -86,7 +80,7 @@
 	await clock.tickAsync(0);
 	leaving.abort();
 	await clock.tickAsync(1000);
-	t.deepEqual(await results, ['done', 'done', '5001', '5001']);
+	t.deepEqual(await results, ['done', 'done', '5001 no', '5001 no']);
 	t.is(table.counts.total('transact'), 2);
 });
 
@@ -97,6 +91,6 @@
 	const result = told(claim.transact(transaction, leaving.signal));
 	await clock.tickAsync(50);
 	leaving.abort();
-	t.is(await result, '5002');
+	t.is(await result, '5002 unknown');
 	t.false(budget.outage);
 });
--- a/src/platform/http/__tests__/http-channel.test.ts
+++ b/src/platform/http/__tests__/http-channel.test.ts
@@ -1,26 +1,17 @@
 import {createServer, type Server, type Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import test from 'ava';
-import {CarobquayError} from '../../../errors/errors.js';
 import {startTableStandIn} from '../../../stand-in/platform/table.js';
+import {put, told} from '../../__tests__/support.js';
 import {HttpTable} from '../http-table.js';
 
 /** Time limit in milliseconds of a call in these tests. */
 const timeout = 1000;
 
-const write = {conditions: [], writes: [{kind: 'put', key: 'a', value: 1} as const]};
-
-async function told(call: Promise<unknown>): Promise<string> {
-	try {
-		await call;
-		return 'done';
-	} catch (error) {
-		return error instanceof CarobquayError ? `${error.code} ${error.ran}` : String(error);
-	}
-}
+const write = {conditions: [], writes: [put('a')]};
 
 /** Listens with a server that treats each connection as told. */
-async function listen(onConnection: (socket: Socket) => void): Promise<{address: string; close: () => void}> {
+async function listen(onConnection: (socket: Socket) => void): Promise<{address: string; connections: () => number; close: () => void}> {
 	const sockets: Socket[] = [];
 	const server: Server = createServer(socket => {
 		socket.on('error', () => undefined);
@@ -35,6 +26,7 @@
 	});
 	return {
 		address: `127.0.0.1:${port}`,
+		connections: () => sockets.length,
 		close() {
 			server.close();
 			for (const socket of sockets) {
@@ -110,7 +102,7 @@
 
 for (const {name, onConnection, write: writeTold, read: readTold} of servers) {
 	test(`server ${name}: write ${writeTold}, read ${readTold}, within the time limit`, async t => {
-		const {address, close} = await listen(onConnection);
+		const {address, connections, close} = await listen(onConnection);
 		const table = new HttpTable({address, timeout});
 		t.teardown(async () => {
 			await table.close();
@@ -119,6 +111,7 @@
 
 		const startedAt = performance.now();
 		t.is(await told(table.transact(write)), writeTold);
+		t.is(connections(), 1, 'a write is sent once');
 		t.is(await told(table.read(['a'])), readTold);
 		t.true(performance.now() - startedAt < (timeout * 2) + 1000);
 	});
