--- a/src/platform/__tests__/settled-write.test.ts
+++ b/src/platform/__tests__/settled-write.test.ts
@@ -1,4 +1,3 @@
-import fakeTimers from '@sinonjs/fake-timers';
 import test from 'ava';
 import fc from 'fast-check';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
@@ -6,27 +5,21 @@
 import {ulid} from 'ulid';
 import {type FaultSettings} from '../memory/faults.js';
 import {MemoryTable, type MemoryTableOptions} from '../memory/memory-table.js';
-import {type SettledOutcome, SettledWriter, type SettledWriterOptions} from '../settled-write.js';
-import {type Transaction} from '../table.js';
-
-const toFake = ['setTimeout', 'clearTimeout', 'performance', 'Date'] as const;
-
-/** Time in milliseconds in which every call and late effect of these tests has ended. */
-const longAfter = 60_000;
-
-const put = (key: string, value: unknown) => ({kind: 'put', key, value} as const);
-const create = (key: string): Transaction => ({conditions: [{key, version: 0}], writes: [put(key, 1)]});
+import {
+	type ChangeState, type SettledOutcome, SettledWriter, type SettledWriterOptions,
+} from '../settled-write.js';
+import {type Transaction, type TransactionResult} from '../table.js';
+import {
+	create, longAfter, pauseClock, pauseClockFor, put,
+} from './support.js';
 
 /** Runs one write under a paused clock. */
-async function runUnderFault(fault: Partial<FaultSettings>, {clearAfter = longAfter, options = {}}: {clearAfter?: number; options?: SettledWriterOptions} = {}) {
-	const clock = fakeTimers.install({toFake: [...toFake]});
+async function runUnderFault(fault: Partial<FaultSettings>) {
+	const clock = pauseClock();
 	try {
 		const table = new MemoryTable();
-		const writer = new SettledWriter(table, options);
+		const writer = new SettledWriter(table);
 		table.faults.set(fault);
-		setTimeout(() => {
-			table.faults.clear();
-		}, clearAfter);
 		const running = writer.run(create('a'));
 		await clock.tickAsync(longAfter * 2);
 		return {outcome: await running, present: table.inspect('a').length > 0, writes: table.counts.total('transact', 'a')};
@@ -35,7 +28,7 @@
 	}
 }
 
-const cases: Array<{name: string; fault: Partial<FaultSettings>; clearAfter?: number; outcome: SettledOutcome['outcome']; present: boolean}> = [
+const cases: Array<{name: string; fault: Partial<FaultSettings>; outcome: SettledOutcome['outcome']; present: boolean}> = [
 	{
 		name: 'no fault', fault: {}, outcome: 'committed', present: true,
 	},
@@ -68,9 +61,9 @@
 	},
 ];
 
-for (const {name, fault, clearAfter, outcome, present} of cases) {
+for (const {name, fault, outcome, present} of cases) {
 	test.serial(`settled write, ${name}: ${outcome}, sent once`, async t => {
-		const seen = await runUnderFault(fault, {clearAfter});
+		const seen = await runUnderFault(fault);
 		t.is(seen.outcome.outcome, outcome);
 		t.is(seen.present, present);
 		t.is(seen.writes, 1);
@@ -78,10 +71,7 @@
 }
 
 test.serial('an unknown change is settled later by its id, by another writer too', async t => {
-	const clock = fakeTimers.install({toFake: [...toFake], now: 1_000_000_000_000});
-	t.teardown(() => {
-		clock.uninstall();
-	});
+	const clock = pauseClockFor(t);
 	const table = new MemoryTable();
 	table.faults.set({frozenUntil: 30_000});
 	const running = new SettledWriter(table).run(create('a'));
@@ -97,10 +87,7 @@
 });
 
 test.serial('markers are deleted after their retention, by later writes and by a sweep', async t => {
-	const clock = fakeTimers.install({toFake: [...toFake], now: 1_000_000_000_000});
-	t.teardown(() => {
-		clock.uninstall();
-	});
+	const clock = pauseClockFor(t);
 	const table = new MemoryTable();
 	const writer = new SettledWriter(table, {retention: 1000});
 	for (const key of ['a', 'b', 'c', 'd', 'e', 'f']) {
@@ -115,7 +102,37 @@
 	t.is(table.inspect('change/').length, 1);
 });
 
-type Step = {gap: number; kind: 'create' | 'increment'};
+/** A table whose client is paused for 11 minutes before its second transaction, the fence. */
+class PausedClient extends MemoryTable {
+	#transactions = 0;
+
+	override async transact(transaction: Transaction): Promise<TransactionResult> {
+		this.#transactions++;
+		if (this.#transactions === 2) {
+			await new Promise(resolve => {
+				setTimeout(resolve, 660_000);
+			});
+		}
+
+		return super.transact(transaction);
+	}
+}
+
+test.serial('a writer that was paused until the marker was deleted does not tell the change as fenced', async t => {
+	const clock = pauseClockFor(t);
+	const table = new PausedClient();
+	table.faults.set({loseAnswers: 1, lateEffect: 100});
+	const running = new SettledWriter(table).run(create('a'));
+	await clock.tickAsync(601_000);
+	t.is(await new SettledWriter(table).sweep(), 1);
+	await clock.tickAsync(longAfter * 2);
+	const {outcome} = await running;
+	t.is(outcome, 'unknown');
+	t.is(table.inspect('a').length, 1);
+});
+
+/** `inquiry`: time in milliseconds after which another writer asks how the change ended. */
+type Step = {gap: number; kind: 'create' | 'increment'; inquiry: number};
 type Scenario = {options: MemoryTableOptions; faults: Partial<FaultSettings>; outage: {from: number; length: number}; steps: Step[]};
 
 const scenarios: fc.Arbitrary<Scenario> = fc.record({
@@ -127,7 +144,7 @@
 		loseRequests: fc.nat({max: 3}),
 	}),
 	outage: fc.record({from: fc.nat({max: 1000}), length: fc.constantFrom(0, 500, 15_000)}),
-	steps: fc.array(fc.record({gap: fc.nat({max: 300}), kind: fc.constantFrom('create' as const, 'increment' as const)}), {minLength: 1, maxLength: 12}),
+	steps: fc.array(fc.record({gap: fc.nat({max: 300}), kind: fc.constantFrom('create' as const, 'increment' as const), inquiry: fc.constantFrom(0, 3, 500, 6000)}), {minLength: 1, maxLength: 12}),
 });
 
 /** Writes a step's own item, and counts it in a shared item where the step says so. */
@@ -141,8 +158,15 @@
 	return {conditions: [{key: 'counter', version: counter?.version ?? 0}], writes: [own, put('counter', Number(counter?.value ?? 0) + 1)]};
 }
 
+async function inquire(writer: SettledWriter, changeId: string, wait: number): Promise<ChangeState> {
+	await new Promise(resolve => {
+		setTimeout(resolve, wait);
+	});
+	return writer.settle(changeId);
+}
+
 async function runScenario({options, faults, outage, steps}: Scenario) {
-	const clock = fakeTimers.install({toFake: [...toFake]});
+	const clock = pauseClock();
 	try {
 		const table = new MemoryTable(options);
 		const generator = xoroshiro128plus(1);
@@ -154,15 +178,18 @@
 		setTimeout(() => {
 			table.faults.set({down: false});
 		}, outage.from + outage.length);
+		const other = new SettledWriter(table, {backoff: {random: () => uniformFloat64(generator)}});
 		const running: Array<Promise<SettledOutcome>> = [];
+		const inquiries: Array<Promise<ChangeState>> = [];
 		for (const [index, step] of steps.entries()) {
-			running.push(writer.run(transactionOf(step, index, table)));
+			const changeId = ulid();
+			running.push(writer.run(transactionOf(step, index, table), {changeId}));
+			inquiries.push(inquire(other, changeId, step.inquiry));
 			await clock.tickAsync(step.gap); // eslint-disable-line no-await-in-loop
 		}
 
 		await clock.tickAsync(longAfter);
-		const outcomes = await Promise.all(running);
-		return {outcomes, table};
+		return {outcomes: await Promise.all(running), inquired: await Promise.all(inquiries), table};
 	} finally {
 		clock.uninstall();
 	}
@@ -171,13 +198,17 @@
 test.serial('what is told as committed is in the table in the end, and what is told as not committed never is', async t => {
 	const seen = new Map<string, number>();
 	await fc.assert(fc.asyncProperty(scenarios, async scenario => {
-		const {outcomes, table} = await runScenario(scenario);
+		const {outcomes, inquired, table} = await runScenario(scenario);
 		const present = new Set(table.inspect('step/').map(item => item.key));
 		for (const [index, {outcome}] of outcomes.entries()) {
 			seen.set(outcome, (seen.get(outcome) ?? 0) + 1);
 			if (outcome !== 'unknown' && present.has(`step/${index}`) !== (outcome === 'committed')) {
 				throw new Error(`step ${index} was told as ${outcome}`);
 			}
+
+			if (inquired[index] !== 'unknown' && present.has(`step/${index}`) !== (inquired[index] === 'committed')) {
+				throw new Error(`step ${index} was told to another writer as ${inquired[index]}`);
+			}
 		}
 
 		const increments = scenario.steps.filter((step, index) => step.kind === 'increment' && present.has(`step/${index}`));
