--- a/src/stand-in/engine/engine-application.ts
+++ b/src/stand-in/engine/engine-application.ts
@@ -118,7 +118,7 @@
 		return context.json(order);
 	});
 	application.post('/admin/clear-cache', context => {
-		host.model.clearCache();
+		host.clearCache();
 		return context.body(null, 204);
 	});
 	application.get('/admin/state', context => context.json({
--- a/src/stand-in/engine/engine-host.ts
+++ b/src/stand-in/engine/engine-host.ts
@@ -21,6 +21,7 @@
 import {HostedStream, StreamReader} from './hosted-stream.js';
 import type {Admission} from './memory-holds.js';
 import {type ModelStream, type StepResult, streamUsage} from './model-stream.js';
+import {TimerSet} from './timer-set.js';
 
 /** UTF-8 bytes of prompt text in one token. */
 const bytesPerToken = 4;
@@ -28,9 +29,6 @@
 /** Prompt tokens that one prefix hash covers. */
 const tokensPerPrefixHash = prefixChunkBytes / bytesPerToken;
 
-/** Longest time in milliseconds that a timer of the runtime can wait. */
-const longestTimeout = 2_147_483_647;
-
 /** Cancelled requests remembered, so that one that arrives after its cancellation does not run. */
 const keptCancellations = 1000;
 
@@ -84,7 +82,7 @@
 	readonly #options: Required<Pick<EngineHostOptions, 'timeScale' | 'maximumAnswerTokens' | 'maximumWaiting' | 'heartbeatInterval'>>;
 	readonly #streams = new Map<string, HostedStream>();
 	readonly #cancelled = new Set<string>();
-	readonly #timers = new Map<string, NodeJS.Timeout>();
+	readonly #timers = new TimerSet();
 	readonly #thawed: () => Promise<void>;
 	#loadSequence = 0;
 	#created = 0;
@@ -126,7 +124,7 @@
 			streamId, requestId, attempt, owner, orphanLifetime, answerHash: request.answerHash,
 		});
 		this.#streams.set(streamId, stream);
-		this.#schedule(`deadline ${streamId}`, deadline, () => {
+		this.#timers.schedule(`deadline ${streamId}`, deadline, () => {
 			this.#interrupt(stream, 'deadline');
 		});
 		this.#changed();
@@ -227,14 +225,16 @@
 		this.#expireAt(expiresAt, holdId);
 	}
 
+	/** Forgets all cached prefixes. */
+	clearCache(): void {
+		this.model.clearCache();
+		this.#changed();
+	}
+
 	/** Stops at once, as a process that dies; readers end without an end message. */
 	close(): void {
 		this.#closed = true;
-		for (const timer of this.#timers.values()) {
-			clearTimeout(timer);
-		}
-
-		this.#timers.clear();
+		this.#timers.close();
 		for (const stream of this.#streams.values()) {
 			stream.closeReader();
 		}
@@ -261,14 +261,14 @@
 			heartbeatInterval: this.#options.heartbeatInterval,
 			onClose: closed => {
 				if (stream.detach(closed) && !stream.end) {
-					this.#schedule(`orphan ${streamId}`, orphanLifetime, () => {
+					this.#timers.schedule(`orphan ${streamId}`, orphanLifetime, () => {
 						this.#interrupt(stream, 'cancelled');
 					});
 				}
 			},
 		});
 		stream.attach(reader);
-		this.#unschedule(`orphan ${streamId}`);
+		this.#timers.cancel(`orphan ${streamId}`);
 		return reader;
 	}
 
@@ -285,10 +285,10 @@
 	#finish(stream: HostedStream, modelStream: ModelStream, reason: EndReason): void {
 		const {streamId, orphanLifetime} = stream.identity;
 		stream.finish({reason, usage: {...streamUsage(modelStream), answerTokens: stream.produced}});
-		this.#unschedule(`deadline ${streamId}`);
-		this.#unschedule(`orphan ${streamId}`);
+		this.#timers.cancel(`deadline ${streamId}`);
+		this.#timers.cancel(`orphan ${streamId}`);
 		// A reader whose connection went silent can still fetch the rest.
-		this.#schedule(`forget ${streamId}`, orphanLifetime, () => {
+		this.#timers.schedule(`forget ${streamId}`, orphanLifetime, () => {
 			this.#streams.delete(streamId);
 		});
 	}
@@ -336,29 +336,12 @@
 
 	/** Frees what expires at a time; a timer may fire a little before the clock shows that time. */
 	#expireAt(expiresAt: number, id: string): void {
-		this.#schedule(`expire ${id}`, expiresAt - performance.now(), () => {
+		this.#timers.schedule(`expire ${id}`, expiresAt - performance.now(), () => {
 			this.model.expire(expiresAt);
 			this.#changed();
 		});
 		this.#changed();
 	}
-
-	#schedule(key: string, milliseconds: number, task: () => void): void {
-		this.#unschedule(key);
-		if (this.#closed) {
-			return;
-		}
-
-		this.#timers.set(key, setTimeout(() => {
-			this.#timers.delete(key);
-			task();
-		}, Math.min(milliseconds, longestTimeout)));
-	}
-
-	#unschedule(key: string): void {
-		clearTimeout(this.#timers.get(key));
-		this.#timers.delete(key);
-	}
 }
 
 /** A request as the host takes it, from its body and summary. */
--- /dev/null
+++ b/src/upstream/__tests__/service-contract.test.ts
@@ -0,0 +1,172 @@
+import {Buffer} from 'node:buffer';
+import {setTimeout as delay} from 'node:timers/promises';
+import test, {type ExecutionContext} from 'ava';
+import {request as sendRequest} from 'undici';
+import {z} from 'zod';
+import {CarobquayError} from '../../errors/errors.js';
+import {answerHash} from '../../stand-in/engine/answer.js';
+import {type FaultOrder, Faults} from '../../stand-in/faults.js';
+import type {ServiceEffects, ServiceHostOptions} from '../../stand-in/service/service-host.js';
+import {startServiceStandIn} from '../../stand-in/service/service-stand-in.js';
+import {HttpService} from '../http-service.js';
+import {MemoryService} from '../memory-service.js';
+import type {ServiceClient, ServiceRequest} from '../service.js';
+
+/** Time in milliseconds after which a call of these tests counts as silent. */
+const silenceLimit = 300;
+
+const effectsShape = z.object({requests: z.record(z.string(), z.number()), keys: z.record(z.string(), z.number())});
+
+type Subject = {client: ServiceClient; faults: Faults; effects: () => Promise<ServiceEffects>; close: () => Promise<void>};
+
+async function startHttp(options: ServiceHostOptions): Promise<Subject> {
+	const faults = new Faults();
+	const server = await startServiceStandIn({...options, faults});
+	const client = new HttpService({name: 'booking-api-1', address: server.address, silenceLimit});
+	return {
+		client,
+		faults,
+		async effects() {
+			const {body} = await sendRequest(`http://${server.address}/admin/effects`);
+			return effectsShape.parse(await body.json());
+		},
+		async close() {
+			faults.clear();
+			await client.close();
+			await server.close();
+		},
+	};
+}
+
+async function startMemory(options: ServiceHostOptions): Promise<Subject> {
+	const client = new MemoryService({...options, name: 'booking-api-1', silenceLimit});
+	return {
+		client, faults: client.faults, effects: async () => client.host.effects(), close: async () => client.close(),
+	};
+}
+
+function call(particulars: Partial<ServiceRequest> = {}): ServiceRequest {
+	return {
+		requestId: 'request-1',
+		attempt: 1,
+		method: 'POST',
+		path: '/slots?branch=7',
+		contentType: 'application/json',
+		body: [Buffer.from('{"slot":'), Buffer.from('12}')],
+		deadline: 5000,
+		idempotencyKey: undefined,
+		...particulars,
+	};
+}
+
+const never = new AbortController().signal;
+
+/** Cases whose number of effects is left open ran or did not, as their error says. */
+const faultCases: Array<{name: string; order: FaultOrder; request?: Partial<ServiceRequest>; expected: {code: string; ran: string} | {status: number}; effects?: number}> = [
+	{
+		name: 'without a fault', order: {}, expected: {status: 200}, effects: 1,
+	},
+	{
+		name: 'refusing connections', order: {availability: 'refusing'}, expected: {code: '4002', ran: 'no'}, effects: 0,
+	},
+	{
+		name: 'unavailable', order: {availability: 'unavailable'}, expected: {status: 503}, effects: 0,
+	},
+	{
+		name: 'losing its answer', order: {loseAnswers: 1}, expected: {code: '4003', ran: 'unknown'}, effects: 1,
+	},
+	{
+		name: 'frozen', order: {freeze: 500}, expected: {code: '4004', ran: 'unknown'},
+	},
+	{
+		name: 'slower than the deadline', order: {slow: 200}, request: {deadline: 100}, expected: {code: '4004', ran: 'unknown'},
+	},
+];
+
+async function outcome(client: ServiceClient, request: ServiceRequest): Promise<{code: string; ran: string} | {status: number}> {
+	try {
+		const {status} = await client.call(request, never);
+		return {status};
+	} catch (error) {
+		if (error instanceof CarobquayError) {
+			return {code: error.code, ran: error.ran};
+		}
+
+		throw error;
+	}
+}
+
+type ContractCase = {name: string; options?: ServiceHostOptions; run: (t: ExecutionContext, subject: Subject) => Promise<void>};
+
+const cases: ContractCase[] = [
+	...faultCases.map(({name, order, request, expected, effects: expectedEffects}) => ({
+		name: `a service ${name}`,
+		async run(t: ExecutionContext, {client, faults, effects}: Subject) {
+			faults.apply(order);
+			t.deepEqual(await outcome(client, call(request)), expected);
+			faults.clear();
+			// Lets a stand-in that refused connections listen again.
+			await delay(50);
+			const counted = await effects();
+			const count = counted.requests['request-1'] ?? 0;
+			t.is(count, expectedEffects ?? count);
+		},
+	})),
+	{
+		name: 'an answer is the one to its own call',
+		async run(t, {client}) {
+			const answer = await client.call(call(), never);
+			t.like(answer, {requestId: 'request-1', attempt: 1, contentType: 'application/json'});
+			t.deepEqual(JSON.parse(Buffer.from(answer.body).toString()), {
+				requestId: 'request-1', method: 'POST', path: '/slots?branch=7', body: answerHash(call().body),
+			});
+			t.like(await client.call(call({method: 'GET', body: []}), never), {status: 200});
+		},
+	},
+	{
+		name: 'a call goes on without its caller, and a repeated one takes effect twice',
+		async run(t, {client, effects}) {
+			const abort = new AbortController();
+			const abandoned = client.call(call({idempotencyKey: 'key-1'}), abort.signal);
+			await delay(10);
+			abort.abort();
+			await t.throwsAsync(abandoned, {instanceOf: CarobquayError});
+			await client.call(call({attempt: 2, idempotencyKey: 'key-1'}), never);
+			await delay(100);
+			t.deepEqual(await effects(), {requests: {'request-1': 2}, keys: {'key-1': 2}});
+		},
+		options: {duration: 50},
+	},
+	{
+		name: 'a service that recognizes keys takes effect once for each',
+		async run(t, {client, effects}) {
+			const attempts = [1, 2, 3].map(async attempt => client.call(call({attempt, idempotencyKey: 'key-1'}), never));
+			const answers = await Promise.all(attempts);
+			t.deepEqual(answers.map(answer => answer.attempt), [1, 2, 3]);
+			t.deepEqual(await effects(), {requests: {'request-1': 1}, keys: {'key-1': 1}});
+		},
+		options: {recognizesKeys: true},
+	},
+	{
+		name: 'load is reported late',
+		async run(t, {client}) {
+			const running = client.call(call(), never);
+			await delay(50);
+			t.deepEqual(await client.load(), {running: 0, leaving: false});
+			await delay(120);
+			t.deepEqual(await client.load(), {running: 1, leaving: false});
+			await running;
+		},
+		options: {duration: 250, loadLag: 100},
+	},
+];
+
+for (const [kind, start] of [['HTTP', startHttp], ['memory', startMemory]] as const) {
+	for (const {name, options = {}, run} of cases) {
+		test.serial(`${kind}: ${name}`, async t => {
+			const subject = await start(options);
+			t.teardown(subject.close);
+			await run(t, subject);
+		});
+	}
+}
--- a/src/upstream/http-engine.ts
+++ b/src/upstream/http-engine.ts
@@ -199,7 +199,8 @@
 			throw new CarobquayError('4006', {message});
 		}
 
-		const refused = statusCode < 500 || statusCode === 503;
+		// Only the engine's own refusal proves that nothing ran; a status alone may come from something in between.
+		const refused = refusal.success && (statusCode < 500 || statusCode === 503);
 		throw new CarobquayError(refused ? '4005' : '4003', {message});
 	}
 }
