feat(upstream): stray messages as a fault of engines, dropped and counted by both clients

Cause: answers may arrive late or crossed, and an end-to-end test needs an engine that does so. Change: the fault "strayMessages" repeats each token and adds one of another request; MemoryEngine checks messages as HttpEngine does. Ruled out: dropping strays in the stand-in's reader, which would test nothing.

--- a/src/stand-in/engine/engine-application.ts
+++ b/src/stand-in/engine/engine-application.ts
@@ -17,7 +17,7 @@
 } from '../server.js';
 import {type EngineHost, toStreamRequest} from './engine-host.js';
 import {EngineRefusal, type RefusalReason} from './engine-refusal.js';
-import type {StreamReader} from './hosted-stream.js';
+import {StrayMessageReader} from './stray-messages.js';
 
 /** Reads prompts; an implementation may use worker threads for large ones. */
 export interface PromptSummarizer {
@@ -48,7 +48,7 @@
 /** Creates the application over a host. */
 export function createEngineApplication(host: EngineHost, faults: Faults, summarizer: PromptSummarizer): StandInApplication {
 	const application = createApplication(faults, describeEngineError);
-	addStreamRoutes(application, host, summarizer);
+	addStreamRoutes(application, host, {faults, summarizer});
 	addReportRoutes(application, host);
 	addMemoryRoutes(application, host);
 	addAdminRoutes(application, host);
@@ -65,15 +65,18 @@
 		: undefined;
 }
 
-function addStreamRoutes(application: StandInApplication, host: EngineHost, summarizer: PromptSummarizer): void {
+function addStreamRoutes(application: StandInApplication, host: EngineHost, {faults, summarizer}: {faults: Faults; summarizer: PromptSummarizer}): void {
 	application.post('/v1/streams', async context => {
 		const metadata = fromHeaders(context.req.header());
 		const body = await readBody(context.env.incoming);
 		const summary = await summarizer.summarize(body);
-		return answerStream(context, host.open(toStreamRequest({...metadata, body}, summary)));
+		return answerStream(context, new StrayMessageReader(host.open(toStreamRequest({...metadata, body}, summary)), faults));
 	});
 	application.get('/v1/streams', context => context.json(host.streams()));
-	application.get('/v1/streams/:id', context => answerStream(context, host.resume(context.req.param('id'), Number(context.req.query('offset') ?? 0))));
+	application.get('/v1/streams/:id', context => {
+		const reader = host.resume(context.req.param('id'), Number(context.req.query('offset') ?? 0));
+		return answerStream(context, new StrayMessageReader(reader, faults));
+	});
 	application.delete('/v1/streams/:id', context => {
 		host.cancel(context.req.param('id'));
 		return context.body(null, 204);
@@ -130,7 +133,7 @@
 }
 
 /** Answers with the messages of a reader, which is closed when the connection is. */
-function answerStream(context: Context, reader: StreamReader): Response {
+function answerStream(context: Context, reader: StrayMessageReader): Response {
 	const encoder = new TextEncoder();
 	const stream = new ReadableStream<Uint8Array>({
 		async pull(controller) {
@@ -141,8 +144,8 @@
 				controller.enqueue(encoder.encode(toServerSentEvent(value)));
 			}
 		},
-		async cancel() {
-			await reader.return();
+		cancel() {
+			reader.close();
 		},
 	});
 	return context.body(stream, 200, {'content-type': 'text/event-stream', 'cache-control': 'no-store'});
--- a/src/stand-in/faults.ts
+++ b/src/stand-in/faults.ts
@@ -28,6 +28,11 @@
 	 * @default 0: no limit
 	 */
 	requestsPerSecond: number;
+	/**
+	 * Whether streams carry repeated messages and those of other requests.
+	 * @default false
+	 */
+	strayMessages: boolean;
 };
 
 const faultOrderShape = z.strictObject({
@@ -35,6 +40,7 @@
 	slow: z.number().nonnegative().optional(),
 	loseAnswers: z.int().nonnegative().optional(),
 	requestsPerSecond: z.number().nonnegative().optional(),
+	strayMessages: z.boolean().optional(),
 	/** Time in milliseconds during which nothing is read, worked on or answered. */
 	freeze: z.number().nonnegative().optional(),
 	/** Existing connections carry nothing any more, for good; new ones work. */
@@ -50,7 +56,7 @@
 
 /** No fault. */
 const noFaults: Readonly<FaultSettings> = {
-	availability: 'up', slow: 0, loseAnswers: 0, requestsPerSecond: 0,
+	availability: 'up', slow: 0, loseAnswers: 0, requestsPerSecond: 0, strayMessages: false,
 };
 
 /**
--- a/src/upstream/__tests__/engine-contract.test.ts
+++ b/src/upstream/__tests__/engine-contract.test.ts
@@ -4,56 +4,16 @@
 import {CarobquayError} from '../../errors/errors.js';
 import {answerHash, answerText} from '../../stand-in/engine/answer.js';
 import type {EngineHostOptions} from '../../stand-in/engine/engine-host.js';
-import {startEngineStandIn} from '../../stand-in/engine/engine-stand-in.js';
-import {type FaultOrder, Faults} from '../../stand-in/faults.js';
+import type {FaultOrder} from '../../stand-in/faults.js';
 import type {EngineClient, EngineMessage, GenerateRequest} from '../engine.js';
-import {HttpEngine} from '../http-engine.js';
-import {MemoryEngine} from '../memory-engine.js';
-
-/** Time in milliseconds after which a call of these tests counts as silent. */
-const silenceLimit = 300;
+import {
+	silenceLimit, startHttp, startMemory, type Subject,
+} from './engine-subjects.js';
 
 const engineOptions: EngineHostOptions = {
 	timeScale: 0.2, heartbeatInterval: 50, loadTime: 1, parameters: {blocks: 100},
 };
 
-/** An engine under test, reached in one of two ways. */
-type Subject = {client: EngineClient; faults: Faults; restart: () => Promise<void>; close: () => Promise<void>};
-
-async function startHttp(options: EngineHostOptions): Promise<Subject> {
-	const faults = new Faults();
-	let server = await startEngineStandIn({...options, faults});
-	const {address} = server;
-	const client = new HttpEngine({name: 'engine-1', address, silenceLimit});
-	return {
-		client,
-		faults,
-		async restart() {
-			await server.close();
-			server = await startEngineStandIn({...options, faults, port: Number(address.split(':')[1])});
-		},
-		async close() {
-			faults.clear();
-			await client.close();
-			await server.close();
-		},
-	};
-}
-
-async function startMemory(options: EngineHostOptions): Promise<Subject> {
-	const client = new MemoryEngine({...options, name: 'engine-1', silenceLimit});
-	return {
-		client,
-		faults: client.faults,
-		async restart() {
-			client.restart();
-		},
-		async close() {
-			await client.close();
-		},
-	};
-}
-
 function prompt(particulars: Partial<GenerateRequest> & {text?: string; tokens?: number; model?: string} = {}): GenerateRequest {
 	const {text = 'hello '.repeat(500), tokens = 20, model = 'stand-in', ...rest} = particulars;
 	return {
@@ -129,6 +89,16 @@
 			await assertMemoryFree(t, client);
 		},
 	},
+	{
+		name: 'stray messages are dropped and counted',
+		async run(t, {client, faults}) {
+			faults.apply({strayMessages: true});
+			const request = prompt();
+			const messages = await collect(client.generate(request, never()));
+			t.is(textOf(messages), answerText(answerHash(request.body), 20));
+			t.deepEqual(client.dropped, {crossed: 20, repeated: 20, malformed: 0});
+		},
+	},
 	{
 		name: 'a stream cut off is resumed on a new connection',
 		async run(t, subject) {
@@ -251,6 +221,9 @@
 	{
 		name: 'unavailable', order: {availability: 'unavailable'}, code: '4005', ran: 'no', started: 0,
 	},
+	{
+		name: 'unavailable for four megabytes', order: {availability: 'unavailable'}, request: prompt({text: 'x'.repeat(4_000_000)}), code: '4005', ran: 'no', started: 0,
+	},
 	{
 		name: 'losing the answer', order: {loseAnswers: 1}, code: '4003', ran: 'unknown', started: 1,
 	},
--- a/src/upstream/memory-engine.ts
+++ b/src/upstream/memory-engine.ts
@@ -8,10 +8,13 @@
 import {InlinePromptSummarizer, type PromptSummarizer} from '../stand-in/engine/engine-application.js';
 import {EngineHost, type EngineHostOptions, toStreamRequest} from '../stand-in/engine/engine-host.js';
 import {EngineRefusal} from '../stand-in/engine/engine-refusal.js';
+import type {StreamReader} from '../stand-in/engine/hosted-stream.js';
+import {StrayMessageReader} from '../stand-in/engine/stray-messages.js';
 import {Faults} from '../stand-in/faults.js';
 import type {
 	CacheEventPage, CacheExport, EngineClient, EngineMessage, EngineOrder, GenerateRequest, LoadReport, Reservation, StreamSummary,
 } from './engine.js';
+import {type DroppedMessages, type ExpectedStream, MessageGuard} from './http-engine-guard.js';
 import {MemoryLink} from './memory-link.js';
 
 /** Settings of an engine in memory. */
@@ -41,6 +44,7 @@
 	readonly #options: MemoryEngineOptions;
 	readonly #summarizer: PromptSummarizer;
 	readonly #link: MemoryLink;
+	readonly #dropped: DroppedMessages = {crossed: 0, repeated: 0, malformed: 0};
 	#host: EngineHost;
 
 	constructor(options: MemoryEngineOptions) {
@@ -74,15 +78,21 @@
 		this.faults.clear();
 	}
 
+	/** Messages that were not passed on, over all streams. */
+	get dropped(): Readonly<DroppedMessages> {
+		return this.#dropped;
+	}
+
 	async * generate({body, ...request}: GenerateRequest, signal: AbortSignal): AsyncGenerator<EngineMessage> {
-		yield * this.#link.stream(async () => {
+		const {requestId, attempt} = request;
+		yield * this.#read(async () => {
 			const summary = await this.#summarizer.summarize(body);
 			return this.#host.open(toStreamRequest({...request, body}, summary));
-		}, isEnd, signal);
+		}, {request: {requestId, attempt}, offset: 0}, signal);
 	}
 
 	async * resume(streamId: string, offset: number, signal: AbortSignal): AsyncGenerator<EngineMessage> {
-		yield * this.#link.stream(async () => this.#host.resume(streamId, offset), isEnd, signal);
+		yield * this.#read(async () => this.#host.resume(streamId, offset), {streamId, offset}, signal);
 	}
 
 	async cancel(streamId: string, signal?: AbortSignal): Promise<void> {
@@ -143,6 +153,16 @@
 		this.faults.clear();
 	}
 
+	async * #read(open: () => Promise<StreamReader>, expected: ExpectedStream, signal: AbortSignal): AsyncGenerator<EngineMessage> {
+		const guard = new MessageGuard(this.name, expected, this.#dropped);
+		const messages = this.#link.stream(async () => new StrayMessageReader(await open(), this.faults), isEnd, signal);
+		for await (const message of messages) {
+			if (guard.accepts(message)) {
+				yield message;
+			}
+		}
+	}
+
 	#start(): EngineHost {
 		return new EngineHost(this.#options, async () => this.faults.thawed());
 	}
