test(upstream): cases for what survived deliberate faults in the code

Cause: five of thirteen deliberate faults put into a scratch copy were found by no test. Ruled out: judging a silent idle connection by the call right after another, which takes a new connection anyway.

--- a/src/stand-in/engine/__tests__/engine-model.test.ts
+++ b/src/stand-in/engine/__tests__/engine-model.test.ts
@@ -130,6 +130,18 @@
 	t.is(model.accounts().free, 100);
 });
 
+test('a reservation is refused while a stream waits for memory', t => {
+	const model = new EngineModel(smallEngine);
+	model.submit(request('running', {promptTokens: 400}));
+	model.submit(request('waiting', {promptTokens: 700}));
+	model.step();
+	t.like(model.load(), {running: 1, waiting: 1, freeBlocks: 59});
+	t.is(model.reserve({
+		reservationId: 'later', promptTokens: 100, answerTokens: 10, expiresAt: 1000,
+	}), 'no-memory');
+	t.deepEqual(firstTokenOrder(drain(model)), ['running', 'waiting']);
+});
+
 const prompt = fc.integer({min: 1, max: 1200});
 const prefix = fc.constantFrom('a', 'b', 'c');
 const operation = fc.oneof(
--- a/src/upstream/__tests__/engine-subjects.ts
+++ b/src/upstream/__tests__/engine-subjects.ts
@@ -1,12 +1,15 @@
 /**
- * Engines that the contract cases run against.
+ * Engines that the contract cases run against, and what the cases share.
  *
  * @module
  */
+import {Buffer} from 'node:buffer';
+import type {ExecutionContext, TestFn} from 'ava';
+import {CarobquayError} from '../../errors/errors.js';
 import type {EngineHostOptions} from '../../stand-in/engine/engine-host.js';
 import {startEngineStandIn} from '../../stand-in/engine/engine-stand-in.js';
 import {Faults} from '../../stand-in/faults.js';
-import type {EngineClient} from '../engine.js';
+import type {EngineClient, EngineMessage, GenerateRequest} from '../engine.js';
 import {HttpEngine} from '../http-engine.js';
 import {MemoryEngine} from '../memory-engine.js';
 
@@ -17,7 +20,7 @@
 export type Subject = {client: EngineClient & Pick<HttpEngine, 'dropped'>; faults: Faults; restart: () => Promise<void>; close: () => Promise<void>};
 
 /** An engine stand-in behind the HTTP client. */
-export async function startHttp(options: EngineHostOptions): Promise<Subject> {
+async function startHttp(options: EngineHostOptions): Promise<Subject> {
 	const faults = new Faults();
 	let server = await startEngineStandIn({...options, faults});
 	const {address} = server;
@@ -38,7 +41,7 @@
 }
 
 /** An engine in memory. */
-export async function startMemory(options: EngineHostOptions): Promise<Subject> {
+async function startMemory(options: EngineHostOptions): Promise<Subject> {
 	const client = new MemoryEngine({...options, name: 'engine-1', silenceLimit});
 	return {
 		client,
@@ -51,3 +54,74 @@
 		},
 	};
 }
+
+/** Settings of the engines under test. */
+const engineOptions: EngineHostOptions = {
+	timeScale: 0.2, heartbeatInterval: 50, loadTime: 1, parameters: {blocks: 100},
+};
+
+/** A prompt of 750 tokens unless told otherwise. */
+export function prompt(particulars: Partial<GenerateRequest> & {text?: string; tokens?: number; model?: string} = {}): GenerateRequest {
+	const {text = 'hello '.repeat(500), tokens = 20, model = 'stand-in', ...rest} = particulars;
+	return {
+		requestId: 'request-1',
+		attempt: 1,
+		owner: 'entry-1',
+		body: [Buffer.from(JSON.stringify({model, max_tokens: tokens, messages: [{role: 'user', content: text}]}))],
+		priority: 0,
+		deadline: 10_000,
+		orphanLifetime: 150,
+		...rest,
+	};
+}
+
+/** All messages of a stream. */
+export async function collect(messages: AsyncIterable<EngineMessage>, onMessage?: (message: EngineMessage) => void): Promise<EngineMessage[]> {
+	const collected: EngineMessage[] = [];
+	for await (const message of messages) {
+		collected.push(message);
+		onMessage?.(message);
+	}
+
+	return collected;
+}
+
+/** The answer in a stream's messages. */
+export function textOf(messages: readonly EngineMessage[]): string {
+	return messages.map(message => message.kind === 'token' ? message.text : '').join('');
+}
+
+/** A signal that does not abort. */
+export function never(): AbortSignal {
+	return new AbortController().signal;
+}
+
+/** Number and outcome of the error that a call fails with. */
+export async function failure(t: ExecutionContext, call: Promise<unknown>): Promise<{code: string; ran: string}> {
+	const error = await t.throwsAsync(call, {instanceOf: CarobquayError});
+	return {code: error.code, ran: error.ran};
+}
+
+/** Checks that nothing runs and all blocks can be allocated. */
+export async function assertMemoryFree(t: ExecutionContext, client: EngineClient): Promise<void> {
+	t.deepEqual(await client.streams(), []);
+	t.like(await client.load(), {
+		running: 0, waiting: 0, freeBlocks: 100, pendingPromptTokens: 0,
+	});
+}
+
+/** One case, run against each kind of engine. */
+export type ContractCase = {name: string; options?: EngineHostOptions; run: (t: ExecutionContext, subject: Subject) => Promise<void>};
+
+/** Runs each case over HTTP and in memory. */
+export function testContract(test: TestFn, cases: readonly ContractCase[]): void {
+	for (const [kind, start] of [['HTTP', startHttp], ['memory', startMemory]] as const) {
+		for (const {name, options, run} of cases) {
+			test.serial(`${kind}: ${name}`, async t => {
+				const subject = await start({...engineOptions, ...options});
+				t.teardown(subject.close);
+				await run(t, subject);
+			});
+		}
+	}
+}
--- a/src/upstream/__tests__/service-contract.test.ts
+++ b/src/upstream/__tests__/service-contract.test.ts
@@ -147,6 +147,17 @@
 		},
 		options: {recognizesKeys: true},
 	},
+	{
+		name: 'a call is not sent over a connection that went silent while idle',
+		async run(t, {client, faults, effects}) {
+			await client.call(call(), never);
+			// Lets the connection become idle.
+			await delay(50);
+			faults.apply({silence: true});
+			await t.notThrowsAsync(client.call(call({requestId: 'request-2'}), never));
+			t.like(await effects(), {requests: {'request-1': 1, 'request-2': 1}});
+		},
+	},
 	{
 		name: 'load is reported late',
 		async run(t, {client}) {
