fix(stand-in): an import also holds the prefixes that are cached already

Cause: an import held only the prefixes that it added, and making room for them could evict the others. Change: those already cached are held first; an imported prefix is shown to spare its prefill. Ruled out: importing all again, which would count their blocks twice.

--- a/src/stand-in/engine/__tests__/engine-model.test.ts
+++ b/src/stand-in/engine/__tests__/engine-model.test.ts
@@ -130,6 +130,20 @@
 	t.is(model.accounts().free, 100);
 });
 
+test('an import keeps prefixes that were cached already', t => {
+	const model = new EngineModel(smallEngine);
+	const prefixHashes = hashes('a', 5);
+	model.submit(request('first', {prefixHashes}));
+	drain(model);
+	t.is(model.importCache('import', {hashes: [...prefixHashes, 'new'], blocksPerHash: 2, expiresAt: 1000}), 'accepted');
+	t.is(model.submit(request('other', {promptTokens: 870, answerTokens: 10})), 'accepted');
+	drain(model);
+	t.deepEqual(model.cacheSnapshot().hashes, [...prefixHashes, 'new']);
+	t.is(model.importCache('never', {hashes: hashes('b', 60), blocksPerHash: 2, expiresAt: 1000}), 'never-fits');
+	model.expire(1000);
+	t.is(model.load().freeBlocks, 100);
+});
+
 test('a reservation is refused while a stream waits for memory', t => {
 	const model = new EngineModel(smallEngine);
 	model.submit(request('running', {promptTokens: 400}));
--- a/src/stand-in/engine/memory-holds.ts
+++ b/src/stand-in/engine/memory-holds.ts
@@ -71,17 +71,17 @@
 
 	/** Fills the cache with prefixes from elsewhere and keeps them from eviction until a time. */
 	importCache(holdId: string, cache: {hashes: readonly string[]; blocksPerHash: number; expiresAt: number}): Admission {
-		const missing = [...new Set(cache.hashes)].filter(hash => !this.#memory.has(hash));
+		const hashes = [...new Set(cache.hashes)];
+		// Held first, so that making room for the others does not evict them.
+		const present = hashes.map(hash => this.#memory.acquire(hash)).filter(entry => entry !== undefined);
+		const missing = hashes.filter(hash => !this.#memory.has(hash));
 		const blocks = missing.length * cache.blocksPerHash;
-		if (blocks > this.#memory.total) {
-			return 'never-fits';
-		}
-
 		if (!this.#memory.allocate(blocks)) {
-			return 'no-memory';
+			this.#memory.releaseEntries(present);
+			return blocks > this.#memory.total ? 'never-fits' : 'no-memory';
 		}
 
-		const entries = this.#memory.store(missing, cache.blocksPerHash);
+		const entries = [...present, ...this.#memory.store(missing, cache.blocksPerHash)];
 		this.#cacheHolds.set(holdId, {entries, expiresAt: cache.expiresAt});
 		return 'accepted';
 	}
--- a/src/upstream/__tests__/engine-control-contract.test.ts
+++ b/src/upstream/__tests__/engine-control-contract.test.ts
@@ -53,7 +53,7 @@
 		},
 	},
 	{
-		name: 'cached prefixes are exported, imported elsewhere, and refused when damaged',
+		name: 'cached prefixes are exported, imported, and refused when damaged',
 		async run(t, {client}) {
 			await collect(client.generate(prompt({text: 'a'.repeat(6000)}), never()));
 			const {hashes} = await client.cacheSnapshot();
@@ -67,6 +67,22 @@
 			await assertMemoryFree(t, client);
 		},
 	},
+	{
+		name: 'an imported prefix spares its prefill',
+		async run(t, {client}) {
+			const text = 'a'.repeat(6000);
+			await collect(client.generate(prompt({text}), never()));
+			const {hashes} = await client.cacheSnapshot();
+			const exported = await client.exportCache(hashes, 'entry-1', 50);
+			await delay(100);
+			await collect(client.generate(prompt({text: 'b'.repeat(25_000), tokens: 100}), never()));
+			const evicted = await client.cacheSnapshot();
+			t.deepEqual(evicted.hashes.filter(hash => hashes.includes(hash)), []);
+			await client.importCache(exported, 'entry-1', 50);
+			const messages = await collect(client.generate(prompt({text}), never()));
+			t.like(messages.at(-1), {usage: {promptTokens: 1500, cachedTokens: 1024, answerTokens: 20}});
+		},
+	},
 	{
 		name: 'load and cache events come late, and some events are lost',
 		options: {loadLag: 600, cacheEventLag: 600, lostCacheEventInterval: 2},
