--- a/src/__tests__/support/processes.ts
+++ b/src/__tests__/support/processes.ts
@@ -25,8 +25,10 @@
 	readonly #listeners = new Set<(line: string) => void>();
 	readonly #exit: Promise<number | undefined>;
 
-	constructor(commandArguments: readonly string[]) {
-		this.#child = spawn(process.execPath, [program, ...commandArguments], {stdio: ['ignore', 'pipe', 'pipe']});
+	/** @param binary - Single binary to run in place of the bundle. */
+	constructor(commandArguments: readonly string[], binary?: string) {
+		const [command, ...first] = binary === undefined ? [process.execPath, program] : [binary];
+		this.#child = spawn(command, [...first, ...commandArguments], {stdio: ['ignore', 'pipe', 'pipe']});
 		for (const stream of [this.#child.stdout!, this.#child.stderr!]) {
 			createInterface({input: stream}).on('line', line => {
 				this.lines.push(line);
@@ -43,15 +45,17 @@
 		});
 	}
 
-	/** Resolves with the first line, past or to come, that a pattern matches. */
-	async line(pattern: RegExp): Promise<RegExpExecArray> {
+	/** Resolves with the line, past or to come, that is the given number of those that a pattern matches. */
+	async line(pattern: RegExp, number = 1): Promise<RegExpExecArray> {
+		let matches = 0;
 		return new Promise((resolve, reject) => {
 			const timer = setTimeout(() => {
 				reject(new Error(`no line matched ${String(pattern)} in:\n${this.lines.join('\n')}`));
 			}, startTimeout);
 			const listener = (line: string) => {
 				const found = pattern.exec(line);
-				if (found) {
+				matches += found ? 1 : 0;
+				if (found && matches === number) {
 					clearTimeout(timer);
 					this.#listeners.delete(listener);
 					resolve(found);
