perf(routing): ask the engine before binding short prompts, and let engines for long ones run empty

Cause: reports are half a second old and a short prefill takes a tenth; eight instances chose busy engines. Long prompts found no engine with enough free memory because shorter ones kept arriving there. Where the expected loss by old reports exceeds the cost, short and medium prompts reserve first and ask up to three engines; engines for long prompts get no others while long ones wait; tier sizes follow needs in proportion. Ruled out: wrong length or rate estimates (no missed deadline); reservations lost in races (few against refusals for memory).

--- a/src/routing/engine-choice.ts
+++ b/src/routing/engine-choice.ts
@@ -45,6 +45,8 @@
 	/** Tokens that one prefix hash covers. */
 	tokensPerHash: number;
 	excluded: readonly string[];
+	/** Whether long prompts wait, so that their engines should run empty. */
+	longWaits: boolean;
 	/** Attempts so far; another attempt samples anew. */
 	attempt: number;
 };
@@ -85,8 +87,7 @@
 
 	/** Scored candidates for a prompt of the short or medium tier, best first. */
 	candidates(pool: EnginePool, prompt: Prompt, now: number): ScoredEngine[] {
-		const range = pool.range(prompt.tier, now);
-		const chosen = this.#sample(pool, prompt, range);
+		const chosen = this.#sample(pool, prompt, now);
 		if (chosen.size === 0) {
 			// All of the tier's engines are excluded: any other is better than none.
 			for (const view of pool.members) {
@@ -133,10 +134,13 @@
 		return tier !== 'long' && (pool.position(view.name) ?? 0) < pool.range(tier, now).first ? longerRangePenalty : 0;
 	}
 
-	#sample(pool: EnginePool, prompt: Prompt, range: PositionRange): Set<LoadView> {
+	#sample(pool: EnginePool, prompt: Prompt, now: number): Set<LoadView> {
 		const {members} = pool;
+		const range = pool.range(prompt.tier, now);
 		const generator = xorshift128plus(hashText(prompt.requestId, this.#options.seed + prompt.attempt));
 		const chosen = new Set<LoadView>();
+		const longEnd = pool.range('long', now).end;
+		const lowest = prompt.longWaits && range.first >= longEnd ? longEnd : 0;
 		const pick = ({first, end}: PositionRange, count: number) => {
 			const start = end > first ? uniformInt(generator, first, end - 1) : first;
 			for (let step = 0, found = 0; step < end - first && found < count; step++) {
@@ -150,11 +154,11 @@
 		};
 
 		pick(range, ownRangeSample);
-		pick({first: 0, end: range.first}, longerRangeSample);
+		pick({first: lowest, end: range.first}, longerRangeSample);
 		const rotation = uniformInt(generator, 0, members.length);
 		for (const name of this.#index.holders(prompt.prefixHashes, prefixSample, rotation)) {
 			const position = pool.position(name);
-			if (position !== undefined && position < range.end && !prompt.excluded.includes(name)) {
+			if (position !== undefined && position >= lowest && position < range.end && !prompt.excluded.includes(name)) {
 				chosen.add(members[position]!);
 			}
 		}
--- a/src/routing/engine-pool.ts
+++ b/src/routing/engine-pool.ts
@@ -110,6 +110,12 @@
 		return sum;
 	}
 
+	/** Share of its time that the pool is asked to spend on prefill. */
+	utilization(now: number): number {
+		const {short, medium, long} = this.#fleetWork(now);
+		return (short + medium + long) / 1000 / Math.max(1, this.#members.length);
+	}
+
 	/** Positions that a tier uses at this moment. */
 	range(tier: WorkTier, now: number): PositionRange {
 		if (now - this.#sizedAt > sizesLifetime) {
--- a/src/routing/fleet-view.ts
+++ b/src/routing/fleet-view.ts
@@ -119,7 +119,16 @@
 
 	/** Takes in an observation of an upstream or a request. */
 	observe(observation: Observation, now: number): void {
+		// Tokens are by far the most frequent; they skip the pattern matching.
+		if (observation.kind === 'token') {
+			this.#token(observation.requestId, now);
+			return;
+		}
+
 		match(observation)
+			.with({kind: 'load'}, ({upstream, report}) => {
+				this.#reported(upstream, report, now);
+			})
 			.with({kind: 'sent'}, ({requestId}) => {
 				const placed = this.#placed.get(requestId);
 				if (placed) {
@@ -129,15 +138,9 @@
 			.with({kind: 'first-token'}, ({requestId}) => {
 				this.#firstToken(requestId, now);
 			})
-			.with({kind: 'token'}, ({requestId}) => {
-				this.#token(requestId, now);
-			})
 			.with({kind: 'ended'}, ended => {
 				this.#ended(ended, now);
 			})
-			.with({kind: 'load'}, ({upstream, report}) => {
-				this.#reported(upstream, report, now);
-			})
 			.with({kind: 'service-load'}, ({upstream, running}) => {
 				this.#views.get(upstream)?.serviceReported(running);
 			})
--- /dev/null
+++ b/src/routing/long-router.ts
@@ -0,0 +1,208 @@
+/**
+ * Decides on long prompts: each waits until an engine is free for it, and is bound to that engine by a reservation.
+ *
+ * @module
+ */
+import type {FairShare} from '../customer/fair-share.js';
+import {
+	type Assessed, assessPrompt, placedEngine, reasonOf, refuse, sendDecision, sendPrompt,
+} from './assessment.js';
+import type {
+	Decision, DrainedDecision, RefuseDecision, ReservationOutcome, SendDecision, WaitDecision, WaitReason,
+} from './decision.js';
+import type {EngineChoice} from './engine-choice.js';
+import type {EnginePool} from './engine-pool.js';
+import type {FleetView} from './fleet-view.js';
+import {LongQueue, type QueuedRequest} from './long-queue.js';
+
+/** Wait in milliseconds at an engine up to which a long prompt is bound to it. */
+const bindingWait = 250;
+
+/** Wait in milliseconds that a reservation may show for the prompt to be sent nevertheless. */
+const acceptedReservationWait = 1000;
+
+/** Shortest and longest time in milliseconds until a waiting prompt is looked at again. */
+const shortestRecheck = 50;
+const longestRecheck = 1000;
+
+/** Time in milliseconds for which an engine that refused a reservation is not asked again. */
+const refusedReservationPause = 500;
+
+/** Factor by which the expected wait of a long prompt is taken longer to be sure of its deadline. */
+const waitMargin = 1.3;
+
+/** Share of its deadline that a long prompt of a customer over its share may wait. */
+const overShareWait = 0.5;
+
+/** Decisions on long prompts. */
+export class LongRouter {
+	readonly #fleet: FleetView;
+	readonly #choice: EngineChoice;
+	readonly #fairShare: FairShare;
+	readonly #queue = new LongQueue();
+	/** Prompts for which a reservation is under way. */
+	readonly #reserving = new Map<string, QueuedRequest>();
+	readonly #pausedUntil = new Map<string, number>();
+
+	constructor(fleet: FleetView, choice: EngineChoice, fairShare: FairShare) {
+		this.#fleet = fleet;
+		this.#choice = choice;
+		this.#fairShare = fairShare;
+	}
+
+	get queue(): LongQueue {
+		return this.#queue;
+	}
+
+	/** Whether long prompts wait for a pool, here or at other instances. */
+	isAwaited(pool: EnginePool, now: number): boolean {
+		return this.#queue.queuedTime(pool.pool.name) + pool.peersQueued(now) > 0;
+	}
+
+	/** Admits a long prompt to the queue, and sends it at once where an engine is free. */
+	admit(assessed: Assessed, now: number): Decision {
+		const {facts, pools, prompt, answerTokens, customer} = assessed;
+		const pool = pools.find(({members}) => members.length > 0)!;
+		const prefillTime = pool.rate.prefillTime(prompt.promptTokens);
+		const latestStart = facts.deadline - prefillTime - this.#fleet.answers.duration(answerTokens);
+		const wait = this.#expectedLongWait(pool, now);
+		const slack = latestStart - now;
+		const late = (wait * waitMargin) - slack;
+		if (late > 0) {
+			return refuse(slack > 0 ? '3002' : '3004', late, `would have to wait about ${Math.ceil(wait)} ms for an engine, ${Math.max(0, Math.floor(slack))} ms at most allow its deadline`);
+		}
+
+		if (wait > slack * overShareWait && this.#fairShare.isOverShare(customer.name, now)) {
+			return refuse('3002', wait - (slack * overShareWait), `customer "${customer.name}" has had more than its share of long work`);
+		}
+
+		const queued = {
+			facts, pool: pool.pool.name, promptTokens: prompt.promptTokens, prefillTime, priority: assessed.requestClass.priority, queuedAt: now, latestStart,
+		};
+		this.#queue.add(queued, customer.weight);
+		// Those before it in the queue are looked at first.
+		const [first] = this.#queue.inOrder(now);
+		const served = first!.facts.requestId === facts.requestId ? this.#serve(first!, now) : undefined;
+		return served ?? this.#waitDecision(queued, 'long-bound', now);
+	}
+
+	/** Takes in the outcome of a reservation. */
+	reserved(requestId: string, outcome: ReservationOutcome, now: number): SendDecision | WaitDecision | RefuseDecision | undefined {
+		const queued = this.#reserving.get(requestId);
+		const placed = this.#fleet.placed(requestId);
+		this.#reserving.delete(requestId);
+		if (!queued || !placed) {
+			return undefined;
+		}
+
+		if (outcome.kind === 'reserved' && outcome.expectedWait <= acceptedReservationWait) {
+			this.#queue.served(queued);
+			placed.entry.sentAt = now;
+			return {...sendDecision(this.#assessQueued(queued, now), {engine: placedEngine(placed), now, reason: 'late-binding'}), reserve: false};
+		}
+
+		this.#fleet.displace(requestId);
+		if (outcome.kind === 'reserved') {
+			placed.view.probed(outcome.expectedWait, now);
+		}
+
+		const pause = outcome.kind === 'reserved' ? Math.min(outcome.expectedWait, longestRecheck) : refusedReservationPause;
+		this.#pausedUntil.set(placed.view.name, now + pause);
+		this.#queue.putBack(queued);
+		return this.#serve(queued, now) ?? this.#waitDecision(queued, 'engine-busy', now);
+	}
+
+	/** Decisions on queued prompts that can be made now. */
+	drain(now: number): DrainedDecision[] {
+		const drained: DrainedDecision[] = [];
+		for (const queued of this.#queue.inOrder(now)) {
+			const decision = this.#serve(queued, now);
+			if (decision) {
+				drained.push({requestId: queued.facts.requestId, decision});
+			}
+		}
+
+		return drained;
+	}
+
+	/** Forgets a prompt. */
+	withdraw(requestId: string): void {
+		this.#queue.remove(requestId);
+		this.#reserving.delete(requestId);
+	}
+
+	/** Time at which an engine for long prompts is expected to be free; undefined where none waits. */
+	nextCheck(now: number, poolName?: string): number | undefined {
+		if (this.#queue.size === 0) {
+			return undefined;
+		}
+
+		let soonest = longestRecheck;
+		for (const [name, pool] of this.#fleet.pools) {
+			if (poolName !== undefined && name !== poolName) {
+				continue;
+			}
+
+			const {first, end} = pool.range('long', now);
+			for (let position = first; position < end; position++) {
+				const view = pool.members[position]!;
+				const paused = (this.#pausedUntil.get(view.name) ?? 0) - now;
+				soonest = Math.min(soonest, Math.max(paused, view.pendingPrefill(now) - bindingWait));
+			}
+		}
+
+		return now + Math.max(shortestRecheck, soonest);
+	}
+
+	/** Time in milliseconds until a new long prompt would find an engine. */
+	#expectedLongWait(pool: EnginePool, now: number): number {
+		const {first, end} = pool.range('long', now);
+		let pending = this.#queue.queuedTime(pool.pool.name) + pool.peersQueued(now);
+		let soonest = Number.POSITIVE_INFINITY;
+		for (let position = first; position < end; position++) {
+			const wait = pool.members[position]!.pendingPrefill(now);
+			pending += wait;
+			soonest = Math.min(soonest, wait);
+		}
+
+		return Math.max(soonest, pending / Math.max(1, end - first));
+	}
+
+	#assessQueued({facts}: QueuedRequest, now: number): Assessed {
+		const {classes, customers} = this.#fleet.configuration;
+		return assessPrompt(this.#fleet, facts, {
+			requestClass: classes.get(facts.requestClass)!, customer: customers.get(facts.customer)!, longWaits: pool => this.isAwaited(pool, now),
+		});
+	}
+
+	/** Sends a queued prompt if an engine is free for it, or refuses it if its deadline has become unreachable. */
+	#serve(queued: QueuedRequest, now: number): SendDecision | RefuseDecision | undefined {
+		const {facts} = queued;
+		const assessed = this.#assessQueued(queued, now);
+		const pool = this.#fleet.pools.get(queued.pool);
+		if (!pool || now > queued.latestStart) {
+			this.#queue.remove(facts.requestId);
+			return refuse('3004', Math.max(0, now - queued.latestStart) + longestRecheck, 'no engine became free in time');
+		}
+
+		const scored = this.#choice.longCandidates(pool, assessed.prompt, now)
+			.filter(({view, wait, fits}) => fits && wait <= bindingWait && (this.#pausedUntil.get(view.name) ?? 0) <= now);
+		const best = scored[0];
+		if (!best) {
+			return undefined;
+		}
+
+		this.#queue.remove(facts.requestId);
+		this.#reserving.set(facts.requestId, queued);
+		const decision = sendPrompt(this.#fleet, assessed, {
+			engine: best, now, second: scored[1], candidates: scored.length, reason: reasonOf(best, scored),
+		});
+		return {...decision, reserve: true};
+	}
+
+	#waitDecision({pool, promptTokens}: Pick<QueuedRequest, 'pool' | 'promptTokens'>, reason: WaitReason, now: number): WaitDecision {
+		return {
+			kind: 'wait', tier: 'long', reason, until: this.nextCheck(now, pool) ?? now + longestRecheck, promptTokens,
+		};
+	}
+}
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -7,7 +7,8 @@
  * - asks `decide` once for each attempt. A `send` counts as in flight from the decision until an `ended` observation,
  *   which must follow also where the request could not be sent;
  * - where `send.reserve` is set, reserves at the engine first and passes the outcome to `reserved`, whose decision
- *   replaces the first one; a reservation is released where that decision does not send;
+ *   replaces the first one and may ask for another reservation; a reservation is released where that decision does not
+ *   send to its engine;
  * - after `wait`, calls `drain` at the time of `nextCheck` and after an `ended` or `load` observation, and gets the
  *   decisions on queued requests from it; calls `withdraw` when a waiting caller leaves;
  * - publishes `digest` to the other instances every few seconds.
@@ -24,7 +25,8 @@
 import {explainDecision} from './explain.js';
 import {FleetView} from './fleet-view.js';
 import type {Observation, PeerDigest, UpstreamDescription} from './observation.js';
-import {PromptRouter, refuse} from './prompt-router.js';
+import {refuse} from './assessment.js';
+import {PromptRouter} from './prompt-router.js';
 import {chooseService} from './service-choice.js';
 import type {TierSizes} from './tiers.js';
 
@@ -151,6 +153,7 @@
 	observe(observation: Observation, now: number): void {
 		this.#fleet.observe(observation, now);
 		if (observation.kind === 'ended') {
+			this.#prompts.withdraw(observation.requestId);
 			this.#release(observation.requestId);
 		} else if (observation.kind === 'peer-digest') {
 			this.#limits.observePeer(observation.digest.instance, observation.digest.demand, now);
@@ -166,7 +169,7 @@
 			instance: this.#instance,
 			demand,
 			work: Object.fromEntries(pools.map(([name, pool]) => [name, pool.ownWork(now)])),
-			queued: Object.fromEntries(pools.map(([name]) => [name, this.#prompts.queue.queuedTime(name)])),
+			queued: Object.fromEntries(pools.map(([name]) => [name, this.#prompts.queuedTime(name)])),
 		};
 	}
 
@@ -184,7 +187,7 @@
 	snapshot(): RouterSnapshot {
 		return {
 			generation: this.#fleet.configuration.generation,
-			queued: this.#prompts.queue.size,
+			queued: this.#prompts.queued,
 			pools: Object.fromEntries([...this.#fleet.pools].map(([name, pool]) => (
 				[name, {members: pool.members.length, sizes: pool.sizes, blocking: pool.rate.blocking}]))),
 			toResync: this.toResync,
--- a/src/routing/tiers.ts
+++ b/src/routing/tiers.ts
@@ -51,8 +51,8 @@
 /**
  * Sizes of the tiers for so many engines under the work asked for.
  *
- * Capacity that no tier needs goes to all in proportion. Where there is too little, long work shrinks first, down to
- * its minimum share.
+ * Capacity beyond the need goes to all in proportion to their needs; where there is too little, all get less alike,
+ * but for the minimum shares of short and long work.
  */
 export function tierSizes(engines: number, work: TierWork): TierSizes {
 	if (engines <= 1) {
@@ -64,10 +64,9 @@
 		medium: work.medium / 1000 / targetUtilization.medium,
 		long: Math.max(minimumLongShare * engines, work.long / 1000 / targetUtilization.long),
 	};
-	const total = need.short + need.medium + need.long;
-	const scale = Math.max(1, engines / total);
+	const scale = engines / (need.short + need.medium + need.long);
 	const short = Math.min(engines - 1, Math.max(1, Math.round(need.short * scale)));
 	const rest = engines - short;
-	const long = Math.max(1, Math.round(rest * (need.long / (need.long + need.medium))));
+	const long = Math.min(rest, Math.max(1, Math.round(need.long * scale)));
 	return {short, medium: rest - long, long};
 }
--- a/src/upstream/load-view.ts
+++ b/src/upstream/load-view.ts
@@ -48,8 +48,9 @@
 	readonly #prefilling = new Map<string, InFlight>();
 	#report: LoadReport | undefined;
 	#measuredAt = Number.NEGATIVE_INFINITY;
-	/** Prefill time of other instances' requests at the time of the report. */
+	/** Prefill time of other instances' requests, and when it was so. */
 	#othersPrefill = 0;
+	#othersAt = Number.NEGATIVE_INFINITY;
 	/** Whether the report shows a prefill of another instance that is of the long tier. */
 	#othersLong = false;
 	#ownTokens = 0;
@@ -152,11 +153,23 @@
 			}
 		}
 
+		if (this.#measuredAt < this.#othersAt) {
+			return;
+		}
+
 		const othersPending = Math.min(largestPrompt, Math.max(0, report.pendingPromptTokens - ownPending));
 		this.#othersPrefill = this.#rate.prefillTime(othersPending);
+		this.#othersAt = this.#measuredAt;
 		this.#othersLong = othersPending > 0 && this.#othersPrefill > longPrefillTime;
 	}
 
+	/** Takes in the wait in milliseconds that the engine itself expects at this moment. */
+	probed(expectedWait: number, now: number): void {
+		this.#othersPrefill = Math.max(0, expectedWait - this.#ownPrefill(now));
+		this.#othersAt = now;
+		this.#othersLong = this.#othersPrefill > longPrefillTime;
+	}
+
 	/** Takes in a plain service's report. */
 	serviceReported(running: number): void {
 		this.#serviceRunning = running;
@@ -229,7 +242,7 @@
 	}
 
 	#remainingOthers(now: number): number {
-		return Math.max(0, this.#othersPrefill - (now - this.#measuredAt));
+		return Math.max(0, this.#othersPrefill - (now - this.#othersAt));
 	}
 
 	#ownPrefill(now: number): number {
