perf(routing): let long prompts borrow the engines of medium ones, in start-time fair order

Cause: long prompts waited for their few engines while others idled, and finish-time order put the longest last; prefill times were learnt from samples that contained waiting. Change: long prompts also take idle engines of the medium range; start-time fair queueing; medium prompts are refused by their deadline instead of a fixed wait; samples above the expectation are cut and prefill is learnt from engines that said they were idle.

--- a/src/routing/assessment.ts
+++ b/src/routing/assessment.ts
@@ -14,6 +14,9 @@
 import type {FleetView, Placed} from './fleet-view.js';
 import {tierOf} from './tiers.js';
 
+/** Wait relative to a prefill that does not disturb learning from its duration. */
+const negligibleWait = 0.05;
+
 /** Steps between the priorities of two classes, which leave room for the tiers of one class. */
 const classPriorityStep = 4;
 const tierPriority = {short: 2, medium: 1, long: 0} as const;
@@ -100,7 +103,7 @@
 		totalTokens: prompt.promptTokens + answerTokens,
 		prefillTime: engine.prefillTime,
 		long: prompt.tier === 'long',
-		alone: engine.wait === 0,
+		alone: engine.wait <= negligibleWait * engine.prefillTime,
 		sentAt: now,
 		firstTokenAt: undefined,
 		lastTokenAt: undefined,
--- a/src/routing/engine-choice.ts
+++ b/src/routing/engine-choice.ts
@@ -87,23 +87,21 @@
 
 	/** Scored candidates for a prompt of the short or medium tier, best first. */
 	candidates(pool: EnginePool, prompt: Prompt, now: number): ScoredEngine[] {
-		const chosen = this.#sample(pool, prompt, now);
-		if (chosen.size === 0) {
-			// All of the tier's engines are excluded: any other is better than none.
-			for (const view of pool.members) {
-				if (!prompt.excluded.includes(view.name)) {
-					chosen.add(view);
-				}
-			}
-		}
+		return [...this.#sample(pool, prompt, now)].map(view => this.score(pool, view, prompt, now)).toSorted(byScore);
+	}
 
-		return [...chosen].map(view => this.score(pool, view, prompt, now)).toSorted(byScore);
+	/** All engines that were not tried, scored, best first, for a prompt whose own range has none left. */
+	remaining(pool: EnginePool, prompt: Prompt, now: number): ScoredEngine[] {
+		return pool.members
+			.filter(view => !prompt.excluded.includes(view.name))
+			.map(view => this.score(pool, view, prompt, now))
+			.toSorted(byScore);
 	}
 
-	/** All engines of the long range, scored, best first. */
+	/** Engines that are not kept for short prompts, scored, best first. */
 	longCandidates(pool: EnginePool, prompt: Prompt, now: number): ScoredEngine[] {
-		const {first, end} = pool.range('long', now);
-		return pool.members.slice(first, end)
+		const {first} = pool.range('short', now);
+		return pool.members.slice(0, Math.max(first, pool.range('long', now).end))
 			.filter(view => !prompt.excluded.includes(view.name))
 			.map(view => this.score(pool, view, prompt, now))
 			.toSorted(byScore);
@@ -131,7 +129,9 @@
 	}
 
 	#rangePenalty(pool: EnginePool, view: LoadView, tier: WorkTier, now: number): number {
-		return tier !== 'long' && (pool.position(view.name) ?? 0) < pool.range(tier, now).first ? longerRangePenalty : 0;
+		const {first, end} = pool.range(tier, now);
+		const position = pool.position(view.name) ?? 0;
+		return position < first || position >= end ? longerRangePenalty : 0;
 	}
 
 	#sample(pool: EnginePool, prompt: Prompt, now: number): Set<LoadView> {
--- a/src/routing/long-queue.ts
+++ b/src/routing/long-queue.ts
@@ -18,15 +18,15 @@
 	queuedAt: number;
 	/** Time at which it must have begun to end by its deadline. */
 	latestStart: number;
-	/** Virtual time of weighted fair queueing at which its service would end. */
+	/** Virtual time of start-time fair queueing at which its service would begin. */
 	tag: number;
 };
 
 /** A queue with start-time fair queueing between customers. */
 export class LongQueue {
 	readonly #requests = new Map<string, QueuedRequest>();
-	/** Latest tag of each customer. */
-	readonly #tags = new Map<string, number>();
+	/** Virtual time at which the last request of each customer would end. */
+	readonly #ends = new Map<string, number>();
 	#virtualTime = 0;
 
 	get size(): number {
@@ -50,8 +50,8 @@
 	/** Adds a request; its tag follows from the customer's weight. */
 	add(request: Omit<QueuedRequest, 'tag'>, weight: number): void {
 		const {customer} = request.facts;
-		const tag = Math.max(this.#virtualTime, this.#tags.get(customer) ?? 0) + (request.prefillTime / weight);
-		this.#tags.set(customer, tag);
+		const tag = Math.max(this.#virtualTime, this.#ends.get(customer) ?? 0);
+		this.#ends.set(customer, tag + (request.prefillTime / weight));
 		this.#requests.set(request.facts.requestId, {...request, tag});
 	}
 
@@ -71,7 +71,7 @@
 	served(request: QueuedRequest): void {
 		this.#virtualTime = Math.max(this.#virtualTime, request.tag);
 		if (this.#requests.size === 0) {
-			this.#tags.clear();
+			this.#ends.clear();
 			this.#virtualTime = 0;
 		}
 	}
--- a/src/routing/prompt-router.ts
+++ b/src/routing/prompt-router.ts
@@ -15,10 +15,13 @@
 import type {FleetView} from './fleet-view.js';
 import {LongRouter} from './long-router.js';
 
-/** Expected time to first token in milliseconds from which a tier counts as overloaded. */
-const overloadedFirstToken = {short: 2000, medium: 15_000, long: Number.POSITIVE_INFINITY} as const;
+/** Longest wait in milliseconds with which a short prompt is admitted. */
+const longestShortWait = 2000;
 
-/** Share of the above from which customers over their share are refused. */
+/** Share of the time that its deadline leaves over which a prompt may wait at an engine. */
+const admittedWait = 0.6;
+
+/** Share of an admitted wait from which customers over their share are refused. */
 const overShareFactor = 0.5;
 
 /** Engines that a short or medium prompt asks at most. */
@@ -126,7 +129,9 @@
 
 	#decideNow(assessed: Assessed, now: number): Decision {
 		const {pools, prompt, facts, answerTokens} = assessed;
-		const scored = pools.flatMap(pool => this.#choice.candidates(pool, prompt, now)).toSorted((left, right) => left.score - right.score);
+		const sampled = pools.flatMap(pool => this.#choice.candidates(pool, prompt, now));
+		const scored = (sampled.length > 0 ? sampled : pools.flatMap(pool => this.#choice.remaining(pool, prompt, now)))
+			.toSorted((left, right) => left.score - right.score);
 		const best = scored[0];
 		if (!best) {
 			return refuse('3005', 1000, `all live engines of class "${assessed.requestClass.name}" were tried`);
@@ -137,7 +142,7 @@
 			return refuse('3004', late, `would end ${Math.ceil(late)} ms after its deadline`);
 		}
 
-		const limit = overloadedFirstToken[prompt.tier];
+		const limit = Math.min(prompt.tier === 'short' ? longestShortWait : Number.POSITIVE_INFINITY, -late * admittedWait);
 		const queueing = best.score - best.prefillTime;
 		if (queueing > limit || (queueing > limit * overShareFactor && this.#fairShare.isOverShare(assessed.customer.name, now))) {
 			return refuse('3002', queueing, `first token is expected to wait ${Math.ceil(queueing)} ms`);
@@ -182,8 +187,9 @@
 		}
 
 		this.#probing.delete(assessed.facts.requestId);
+		const asked = Number.isFinite(best.wait) ? {...best.engine, wait: best.wait, score: best.wait + best.engine.prefillTime} : best.engine;
 		return sendPrompt(this.#fleet, assessed, {
-			engine: best.engine, now, candidates: tried.length, reason: 'late-binding',
+			engine: asked, now, candidates: tried.length, reason: 'late-binding',
 		});
 	}
 
--- a/src/upstream/rate-learning.ts
+++ b/src/upstream/rate-learning.ts
@@ -14,6 +14,9 @@
 /** Tokens of context at which a token is assumed to cost twice a first one. */
 const doublingContext = 100_000;
 
+/** Factor to which an observation above the expected time is cut, since it may contain waiting. */
+const largestExcess = 1.5;
+
 /** Steps by which an observation moves a bucket; queueing only adds time, so lower ones weigh more. */
 const downwardWeight = 0.3;
 const upwardWeight = 0.08;
@@ -56,8 +59,8 @@
 		}
 
 		const bucket = bucketOf(tokens);
-		const sample = time / assumed;
 		const known = this.#observed[bucket]!;
+		const sample = Number.isNaN(known) ? time / assumed : Math.min(time / assumed, known * largestExcess);
 		const weight = sample < known ? downwardWeight : upwardWeight;
 		this.#observed[bucket] = Number.isNaN(known) ? sample : known + (weight * (sample - known));
 		this.#fillGaps();
