--- a/src/routing/division.ts
+++ b/src/routing/division.ts
@@ -11,6 +11,12 @@
 /** Greatest share of the memory that shared messages and question may take, or parts would be too small. */
 const maximumRepeatedShare = 0.5;
 
+/**
+ * Share of an engine's memory that a part takes at most. Smaller parts find an engine sooner and cost less attention;
+ * larger ones see more of the prompt at once.
+ */
+const maximumPartShare = 0.5;
+
 /** Tokens of each message and what one engine can hold. */
 export type DivisionRequest = {
 	/** Cautious tokens of each message, in order. */
@@ -35,12 +41,12 @@
 	const shared = range(messageTokens, 0, 1);
 	const question = range(messageTokens, last, last + 1);
 	const repeated = shared.tokens + question.tokens;
-	const room = capacity - repeated - Math.max(partAnswerTokens, answerTokens);
-	if (repeated > capacity * maximumRepeatedShare) {
+	const room = (capacity * maximumPartShare) - repeated - partAnswerTokens;
+	if (room <= 0 || repeated > capacity * maximumRepeatedShare) {
 		return undefined;
 	}
 
-	const parts = packMessages(messageTokens, room);
+	const parts = packMessages(messageTokens, room, capacity - repeated - partAnswerTokens);
 	const combined = repeated + ((parts?.length ?? 0) * partAnswerTokens) + answerTokens;
 	return parts && combined <= capacity
 		? {
@@ -49,8 +55,8 @@
 		: undefined;
 }
 
-/** Packs the middle messages in order into as few parts as fit, of sizes as even as their boundaries allow. */
-function packMessages(messageTokens: readonly number[], room: number): MessageRange[] | undefined {
+/** Packs the middle messages in order into as few parts as fit, of sizes as even as their boundaries allow; a message above the room is a part alone. */
+function packMessages(messageTokens: readonly number[], room: number, largest: number): MessageRange[] | undefined {
 	const middle = range(messageTokens, 1, messageTokens.length - 1);
 	const even = middle.tokens / Math.ceil(middle.tokens / room);
 	const parts: MessageRange[] = [];
@@ -58,7 +64,7 @@
 	let tokens = 0;
 	for (let index = 1; index < messageTokens.length - 1; index++) {
 		const message = messageTokens[index]!;
-		if (message > room) {
+		if (message > largest) {
 			return undefined;
 		}
 
--- a/src/routing/prompt-router.ts
+++ b/src/routing/prompt-router.ts
@@ -25,7 +25,7 @@
 const overShareFactor = 0.5;
 
 /** Engines that a short or medium prompt asks at most. */
-const maximumProbes = 3;
+const maximumProbes = 4;
 
 /** Wait relative to its own prefill for which a prompt does not ask another engine. */
 const acceptedProbeWait = 0.15;
