perf(routing): let medium prompts take some engines of short ones

Cause: medium prompts waited seconds beside short engines that idled half of their time. Change: a medium prompt may take the first quarter of the engines kept for short prompts at a penalty of 3 s; sizes are planned for 0.4, 0.85 and 0.8 of the time of short, medium and long engines.

--- a/src/routing/engine-choice.ts
+++ b/src/routing/engine-choice.ts
@@ -17,12 +17,21 @@
 /** Engines sampled from the ranges of longer tiers, whose idle capacity may be used. */
 const longerRangeSample = 1;
 
+/** Engines sampled from those kept for short prompts, for a medium one that would wait long elsewhere. */
+const shorterRangeSample = 1;
+
+/** Share of the engines kept for short prompts that a medium one may take. */
+const sharedShare = 0.25;
+
 /** Engines looked at because they hold the prompt's prefix. */
 const prefixSample = 2;
 
 /** Expected loss in milliseconds where an engine may have just begun longer work of another instance. */
 const longerRangePenalty = 300;
 
+/** Expected loss in milliseconds of short prompts where a medium one takes one of their engines. */
+const shorterRangePenalty = 3000;
+
 /** Expected wait in milliseconds at an engine whose memory is full. */
 const fullMemoryPenalty = 2000;
 
@@ -131,7 +140,11 @@
 	#rangePenalty(pool: EnginePool, view: LoadView, tier: WorkTier, now: number): number {
 		const {first, end} = pool.range(tier, now);
 		const position = pool.position(view.name) ?? 0;
-		return position < first || position >= end ? longerRangePenalty : 0;
+		if (position >= end) {
+			return shorterRangePenalty;
+		}
+
+		return position < first ? longerRangePenalty : 0;
 	}
 
 	#sample(pool: EnginePool, prompt: Prompt, now: number): Set<LoadView> {
@@ -155,6 +168,10 @@
 
 		pick(range, ownRangeSample);
 		pick({first: lowest, end: range.first}, longerRangeSample);
+		if (prompt.tier === 'medium') {
+			pick({first: range.end, end: sharedEnd(range.end, members.length)}, shorterRangeSample);
+		}
+
 		const rotation = uniformInt(generator, 0, members.length);
 		for (const name of this.#index.holders(prompt.prefixHashes, prefixSample, rotation)) {
 			const position = pool.position(name);
@@ -167,6 +184,11 @@
 	}
 }
 
+/** End of those positions kept for short prompts that medium ones may take. */
+function sharedEnd(first: number, end: number): number {
+	return first + Math.floor((end - first) * sharedShare);
+}
+
 function byScore(left: ScoredEngine, right: ScoredEngine): number {
 	return left.score - right.score || (left.view.name < right.view.name ? -1 : 1);
 }
--- a/src/routing/tiers.ts
+++ b/src/routing/tiers.ts
@@ -23,7 +23,7 @@
 export type TierSizes = Record<WorkTier, number>;
 
 /** Greatest share of its time that an engine of a tier should spend on prefill. */
-const targetUtilization: Readonly<Record<WorkTier, number>> = {short: 0.45, medium: 0.7, long: 0.9};
+const targetUtilization: Readonly<Record<WorkTier, number>> = {short: 0.4, medium: 0.85, long: 0.8};
 
 /** Share of a pool that the short tier keeps whatever the mix. */
 const minimumShortShare = 0.25;
