perf(routing): learn waits and answer times instead of assuming them

Cause: long prompts were admitted and refused minutes later, because missing memory made waits longer than the pending prefill; answers took longer than tokens times interval. Change: the ratio of actual to expected waits of long prompts and the duration of answers by class are learnt and used by admission. Ruled out: a fixed margin (already 1.3).

--- a/src/routing/answer-estimate.ts
+++ b/src/routing/answer-estimate.ts
@@ -8,7 +8,7 @@
 const answerWeight = 0.05;
 
 /** Mean deviations by which an estimate lies above the mean. */
-const cautiousDeviations = 2;
+const cautiousDeviations = 3;
 
 /** Answers of a class after which its estimate is trusted. */
 const trustedAnswers = 20;
@@ -22,36 +22,28 @@
 /** Weight of one interval between tokens against all before it. */
 const intervalWeight = 0.02;
 
-type ClassAnswers = {mean: number; deviation: number; count: number};
+type Spread = {mean: number; deviation: number; count: number};
 
 /** Lengths of answers by class and the time between tokens. */
 export class AnswerEstimate {
-	readonly #classes = new Map<string, ClassAnswers>();
+	readonly #tokens = new Map<string, Spread>();
+	readonly #durations = new Map<string, Spread>();
 	#tokenInterval = initialTokenInterval;
 
 	/** Answer tokens that a request of a class hardly exceeds. */
 	tokens(requestClass: string, maximum: number): number {
-		const known = this.#classes.get(requestClass);
-		return known && known.count >= trustedAnswers
-			? Math.min(maximum, Math.ceil(known.mean + (cautiousDeviations * known.deviation)))
-			: maximum;
+		return Math.min(maximum, Math.ceil(cautious(this.#tokens.get(requestClass)) ?? maximum));
 	}
 
-	/** Time in milliseconds from the first token of so many to the last. */
-	duration(tokens: number): number {
-		return tokens * this.#tokenInterval;
+	/** Time in milliseconds from the first token to the last that a request of a class hardly exceeds. */
+	duration(requestClass: string, tokens: number): number {
+		return cautious(this.#durations.get(requestClass)) ?? tokens * this.#tokenInterval;
 	}
 
-	/** Takes in the length of an answer. */
-	observeAnswer(requestClass: string, tokens: number): void {
-		const known = this.#classes.get(requestClass) ?? {mean: tokens, deviation: 0, count: 0};
-		const weight = Math.max(answerWeight, 1 / (known.count + 1));
-		const error = tokens - known.mean;
-		this.#classes.set(requestClass, {
-			mean: known.mean + (weight * error),
-			deviation: known.deviation + (weight * (Math.abs(error) - known.deviation)),
-			count: known.count + 1,
-		});
+	/** Takes in an answer's length and the time in milliseconds from its first token to its last. */
+	observeAnswer(requestClass: string, tokens: number, duration: number): void {
+		this.#tokens.set(requestClass, updated(this.#tokens.get(requestClass), tokens));
+		this.#durations.set(requestClass, updated(this.#durations.get(requestClass), duration));
 	}
 
 	/** Takes in the time between two tokens of one answer. */
@@ -59,3 +51,14 @@
 		this.#tokenInterval += intervalWeight * (Math.min(interval, longestTokenInterval) - this.#tokenInterval);
 	}
 }
+
+function cautious(spread: Spread | undefined): number | undefined {
+	return spread && spread.count >= trustedAnswers ? spread.mean + (cautiousDeviations * spread.deviation) : undefined;
+}
+
+function updated(known: Spread | undefined, value: number): Spread {
+	const {mean, deviation, count} = known ?? {mean: value, deviation: 0, count: 0};
+	const weight = Math.max(answerWeight, 1 / (count + 1));
+	const error = value - mean;
+	return {mean: mean + (weight * error), deviation: deviation + (weight * (Math.abs(error) - deviation)), count: count + 1};
+}
--- a/src/routing/fleet-view.ts
+++ b/src/routing/fleet-view.ts
@@ -253,7 +253,7 @@
 
 		if (usage && facts.model !== undefined) {
 			this.lengths.observe(facts.model, facts.promptBytes, usage.promptTokens);
-			this.answers.observeAnswer(facts.requestClass, usage.answerTokens);
+			this.answers.observeAnswer(facts.requestClass, usage.answerTokens, now - (entry.firstTokenAt ?? now));
 			this.#correctIndex(placed, usage.cachedTokens, entry.cachedTokens);
 		}
 	}
--- a/src/routing/long-queue.ts
+++ b/src/routing/long-queue.ts
@@ -16,6 +16,8 @@
 	prefillTime: number;
 	priority: number;
 	queuedAt: number;
+	/** Wait in milliseconds that was expected when it was admitted. */
+	expectedWait: number;
 	/** Time at which it must have begun to end by its deadline. */
 	latestStart: number;
 	/** Virtual time of start-time fair queueing at which its service would begin. */
--- a/src/routing/long-router.ts
+++ b/src/routing/long-router.ts
@@ -31,6 +31,15 @@
 /** Factor by which the expected wait of a long prompt is taken longer to be sure of its deadline. */
 const waitMargin = 1.3;
 
+/** Expected wait in milliseconds from which actual waits are compared with it. */
+const leastLearntWait = 2000;
+
+/** Greatest ratio of an actual wait to the expected one that is learnt. */
+const largestWaitFactor = 5;
+
+/** Weight of one wait against all before it. */
+const waitWeight = 0.2;
+
 /** Share of its deadline that a long prompt of a customer over its share may wait. */
 const overShareWait = 0.5;
 
@@ -42,6 +51,8 @@
 	readonly #queue = new LongQueue();
 	/** Prompts for which a reservation is under way. */
 	readonly #reserving = new Map<string, QueuedRequest>();
+	/** Actual waits relative to the expected ones. */
+	#waitFactor = 1;
 	readonly #pausedUntil = new Map<string, number>();
 
 	constructor(fleet: FleetView, choice: EngineChoice, fairShare: FairShare) {
@@ -64,8 +75,8 @@
 		const {facts, pools, prompt, answerTokens, customer} = assessed;
 		const pool = pools.find(({members}) => members.length > 0)!;
 		const prefillTime = pool.rate.prefillTime(prompt.promptTokens);
-		const latestStart = facts.deadline - prefillTime - this.#fleet.answers.duration(answerTokens);
-		const wait = this.#expectedLongWait(pool, now);
+		const latestStart = facts.deadline - prefillTime - this.#fleet.answers.duration(facts.requestClass, answerTokens);
+		const wait = this.#expectedLongWait(pool, now) * this.#waitFactor;
 		const slack = latestStart - now;
 		const late = (wait * waitMargin) - slack;
 		if (late > 0) {
@@ -77,7 +88,7 @@
 		}
 
 		const queued = {
-			facts, pool: pool.pool.name, promptTokens: prompt.promptTokens, prefillTime, priority: assessed.requestClass.priority, queuedAt: now, latestStart,
+			facts, pool: pool.pool.name, promptTokens: prompt.promptTokens, prefillTime, priority: assessed.requestClass.priority, queuedAt: now, expectedWait: wait / this.#waitFactor, latestStart,
 		};
 		this.#queue.add(queued, customer.weight);
 		// Those before it in the queue are looked at first.
@@ -97,6 +108,7 @@
 
 		if (outcome.kind === 'reserved' && outcome.expectedWait <= acceptedReservationWait) {
 			this.#queue.served(queued);
+			this.#learnWait(queued, now);
 			placed.entry.sentAt = now;
 			return {...sendDecision(this.#assessQueued(queued, now), {engine: placedEngine(placed), now, reason: 'late-binding'}), reserve: false};
 		}
@@ -154,6 +166,14 @@
 		return now + Math.max(shortestRecheck, soonest);
 	}
 
+	/** Learns by how much waits differ from the expected ones; engines short of memory make them longer. */
+	#learnWait({queuedAt, expectedWait}: QueuedRequest, now: number): void {
+		if (expectedWait >= leastLearntWait) {
+			const ratio = Math.min(largestWaitFactor, (now - queuedAt) / expectedWait);
+			this.#waitFactor = Math.max(1, this.#waitFactor + (waitWeight * (ratio - this.#waitFactor)));
+		}
+	}
+
 	/** Time in milliseconds until a new long prompt would find an engine. */
 	#expectedLongWait(pool: EnginePool, now: number): number {
 		const {first, end} = pool.range('long', now);
--- a/src/routing/prompt-router.ts
+++ b/src/routing/prompt-router.ts
@@ -137,7 +137,7 @@
 			return refuse('3005', 1000, `all live engines of class "${assessed.requestClass.name}" were tried`);
 		}
 
-		const late = now + best.score + this.#fleet.answers.duration(answerTokens) - facts.deadline;
+		const late = now + best.score + this.#fleet.answers.duration(facts.requestClass, answerTokens) - facts.deadline;
 		if (late > 0) {
 			return refuse('3004', late, `would end ${Math.ceil(late)} ms after its deadline`);
 		}
