feat(claim): run non-idempotent requests with a key at most once in the fleet

Cause: without a claim that outlives a process, a caller who asks again elsewhere runs a booking twice. Change: a claim of customer and key in the table (claimed, sent, ended), made before admission and moved to sent before sending; takeover only of a claim that the table proves unsent; the answer is kept for the caller who asks again. Ruled out: claiming after the choice of upstream, because a repeated request refused by admission would say "not run" of a request that ran. Conclusion: the wiring is in prompts and calls of services.

--- a/bench/policy/trace.ts
+++ b/bench/policy/trace.ts
@@ -55,7 +55,7 @@
 
 type DrawnPrompt = Pick<TraceRequest, 'promptTokens' | 'answerTokens' | 'promptBytes' | 'messageBytes' | 'prefixHashes' | 'tokensPerHash'>;
 
-function drawPrompt(generator: RandomGenerator, {workload}: Workload, name: string, parameters: WorkloadClass, index: number): DrawnPrompt { // eslint-disable-line @typescript-eslint/max-params
+function drawPrompt(generator: RandomGenerator, {workload}: Workload, name: string, parameters: WorkloadClass, index: number): DrawnPrompt {
 	const promptTokens = Math.round(drawLength(generator, parameters));
 	const answerTokens = Math.round(between(generator, parameters.minimum_answer, parameters.maximum_answer));
 	const spread = between(generator, 1 - workload.bytes_per_token_spread, 1 + workload.bytes_per_token_spread);
--- a/src/entry/callers.ts
+++ b/src/entry/callers.ts
@@ -14,8 +14,8 @@
 import {RequestLife, type RequestState, type RequestTerms} from '../request/life.js';
 import type {PromptReader} from '../request/prompt-reader.js';
 import type {PromptSummary} from '../request/prompt.js';
-import type {PromptRunner} from '../request/prompt-runner.js';
-import type {ServiceRunner} from '../request/service-runner.js';
+import type {RequestRunner} from '../request/request-runner.js';
+import type {ServiceCall} from '../request/service-runner.js';
 import {TimeLimit} from '../request/time-limit.js';
 import type {EventLog} from '../telemetry/log.js';
 import type {RequestMetrics} from '../telemetry/request-metrics.js';
@@ -38,8 +38,7 @@
 	/** @throws {CarobquayError} 3005 where no configuration is known yet. */
 	inForce: () => InForce;
 	reader: PromptReader;
-	prompts: PromptRunner;
-	services: ServiceRunner;
+	requests: RequestRunner;
 	gate: RequestGate;
 	limits: BodyLimits;
 	log: EventLog;
@@ -118,10 +117,9 @@
 			this.#checkModel(arrival, summary.model);
 			const life = this.#begin(arrival, requestClass);
 			const answer = chatAnswer(arrival, summary, this.#options.limits.silence);
-			await this.#runToEnd({arrival, life, fail: async error => answer.fail(error)}, async signal => {
-				await this.#options.prompts.run({
-					life, body: body.chunks, facts: promptFacts(life, summary),
-				}, answer, signal);
+			const content = ['chat', ...body.chunks];
+			await this.#runToEnd({arrival, life, fail: async error => answer.fail(error)}, async signals => {
+				await this.#options.requests.prompt({life, content, ...signals}, {body: body.chunks, facts: promptFacts(life, summary)}, answer);
 			});
 		} finally {
 			body.free();
@@ -139,17 +137,15 @@
 				sendError(arrival.outgoing, error, arrival.requestId);
 			};
 
-			await this.#runToEnd({arrival, life, fail}, async signal => {
-				const answer = await this.#options.services.run({
-					life,
-					facts: serviceFacts(life, pool),
-					call: {
-						method: serviceMethod(context.req.method),
-						path: servicePath(context.req.url, pool),
-						contentType: arrival.incoming.headers['content-type'],
-						body: body.chunks,
-					},
-				}, signal);
+			const call: ServiceCall['call'] = {
+				method: serviceMethod(context.req.method),
+				path: servicePath(context.req.url, pool),
+				contentType: arrival.incoming.headers['content-type'],
+				body: body.chunks,
+			};
+			const content = [call.method, pool, call.path, ...body.chunks];
+			await this.#runToEnd({arrival, life, fail}, async signals => {
+				const answer = await this.#options.requests.call({life, content, ...signals}, {call, facts: serviceFacts(life, pool)});
 				arrival.outgoing.writeHead(answer.status, {
 					...(answer.contentType !== undefined && {'content-type': answer.contentType}),
 					'content-length': answer.body.byteLength,
@@ -240,7 +236,7 @@
 	/** Runs a request under its deadline and its caller's presence, and accounts for its end. */
 	async #runToEnd(
 		{arrival, life, fail}: {arrival: Arrival; life: RequestLife; fail: (error: CarobquayError) => Promise<void>},
-		run: (signal: AbortSignal) => Promise<void>,
+		run: (signals: {deadline: AbortSignal; callerLeft: AbortSignal}) => Promise<void>,
 	): Promise<void> {
 		const limit = new TimeLimit(life.remaining, `request ${arrival.requestId} did not end within its deadline`);
 		const caller = new AbortController();
@@ -253,7 +249,7 @@
 		arrival.outgoing.once('close', onClose);
 		let failure: CarobquayError | undefined;
 		try {
-			await run(AbortSignal.any([limit.signal, caller.signal]));
+			await run({deadline: limit.signal, callerLeft: caller.signal});
 		} catch (error) {
 			failure = toCarobquayError(error, life.ran);
 			await fail(failure);
--- a/src/entry/instance.ts
+++ b/src/entry/instance.ts
@@ -6,12 +6,18 @@
 import {randomUUID} from 'node:crypto';
 import {performance} from 'node:perf_hooks';
 import {collectDefaultMetrics, Registry} from 'prom-client';
+import {ClaimedRequests} from '../claim/claimed-requests.js';
+import {ClaimStore} from '../claim/claim-store.js';
+import {KeptAnswers} from '../claim/kept-answers.js';
 import {ConfigurationStore, type AcceptedConfiguration} from '../configuration/store.js';
 import {CarobquayError} from '../errors/errors.js';
+import {GroupCommit} from '../platform/group-commit.js';
 import type {Platform} from '../platform/platform.js';
+import {SettledWriter} from '../platform/settled-write.js';
 import {Dispatcher} from '../request/dispatcher.js';
 import {PromptReader} from '../request/prompt-reader.js';
 import {PromptRunner} from '../request/prompt-runner.js';
+import {RequestRunner} from '../request/request-runner.js';
 import {ServiceRunner} from '../request/service-runner.js';
 import {Router} from '../routing/router.js';
 import type {ResolvedSettings} from '../settings/schema.js';
@@ -52,6 +58,7 @@
 	readonly #dispatcher: Dispatcher;
 	readonly #directory: UpstreamDirectory;
 	readonly #store: ConfigurationStore;
+	readonly #claims: ClaimStore;
 	readonly #callers: HttpListener;
 	readonly #operators: HttpListener;
 	#inForce: InForce | undefined;
@@ -73,7 +80,8 @@
 				this.#enforce(accepted);
 			},
 		});
-		this.#callers = new HttpListener(this.#createCallers(metrics).fetch);
+		this.#claims = new ClaimStore({table: platform.table, committer: new GroupCommit(new SettledWriter(platform.table)), log: this.#log});
+		this.#callers = new HttpListener(this.#createCallers(metrics, platform).fetch);
 		this.#operators = new HttpListener(operatorsApplication({
 			keyHash: settings.operators.keyHash,
 			registry: this.#registry,
@@ -127,7 +135,7 @@
 		const timeUp = new Promise<boolean>(resolve => {
 			timer = setTimeout(resolve, this.#settings.limits.shutdown, false);
 		});
-		const ended = await Promise.race([this.#gate.close().then(() => true), timeUp]);
+		const ended = await Promise.race([this.#endAll().then(() => true), timeUp]);
 		clearTimeout(timer);
 		await this.stop();
 		this.#log.info('instance.stopped', {ended});
@@ -143,6 +151,12 @@
 		await Promise.all([closed, this.#directory.stop(), this.#reader.close()]);
 	}
 
+	/** Resolves when no request is in flight and the table has the endings of all claims. */
+	async #endAll(): Promise<void> {
+		await this.#gate.close();
+		await this.#claims.settled();
+	}
+
 	#enforce({configuration}: AcceptedConfiguration): void {
 		this.#inForce = {configuration, keys: new KeyRing(configuration)};
 		this.#router.setConfiguration(configuration, performance.now());
@@ -184,8 +198,8 @@
 		});
 	}
 
-	#createCallers(metrics: RequestMetrics) {
-		const {limits, upstreams} = this.#settings;
+	#createCallers(metrics: RequestMetrics, platform: Platform) {
+		const {limits} = this.#settings;
 		return callersApplication({
 			inForce: () => {
 				if (this.#inForce === undefined) {
@@ -195,17 +209,26 @@
 				return this.#inForce;
 			},
 			reader: this.#reader,
+			requests: this.#createRequests(platform),
+			gate: this.#gate,
+			limits: {size: limits.body, silence: limits.callerSilence, memory: this.#memory},
+			log: this.#log,
+			metrics,
+		});
+	}
+
+	#createRequests(platform: Platform): RequestRunner {
+		return new RequestRunner({
 			prompts: new PromptRunner({
 				dispatcher: this.#dispatcher,
 				engine: name => this.#directory.engine(name),
 				owner: this.#owner,
-				orphanLifetime: upstreams.orphanLifetime,
+				orphanLifetime: this.#settings.upstreams.orphanLifetime,
 			}),
 			services: new ServiceRunner({dispatcher: this.#dispatcher, service: name => this.#directory.service(name)}),
-			gate: this.#gate,
-			limits: {size: limits.body, silence: limits.callerSilence, memory: this.#memory},
-			log: this.#log,
-			metrics,
+			claims: new ClaimedRequests({
+				store: this.#claims, answers: new KeptAnswers(platform.objects, this.#log), owner: this.#owner, log: this.#log,
+			}),
 		});
 	}
 
--- a/src/request/life.ts
+++ b/src/request/life.ts
@@ -12,11 +12,11 @@
 
 /** Allowed transitions. */
 const transitions: Readonly<Record<RequestState, readonly RequestState[]>> = {
-	received: ['admitted', 'refused'],
-	admitted: ['waiting', 'claimed', 'sent', 'ended'],
+	received: ['claimed', 'admitted', 'refused'],
+	claimed: ['admitted', 'refused'],
+	admitted: ['waiting', 'sent', 'ended'],
 	refused: [],
-	waiting: ['claimed', 'sent', 'ended'],
-	claimed: ['waiting', 'sent', 'ended'],
+	waiting: ['sent', 'ended'],
 	sent: ['streaming', 'waiting', 'ended'],
 	streaming: ['sent', 'waiting', 'ended'],
 	ended: [],
@@ -89,7 +89,7 @@
 
 	/** Admits the request; has no effect on one admitted before. */
 	admit(): void {
-		if (this.#state === 'received') {
+		if (this.#state === 'received' || this.#state === 'claimed') {
 			this.#moveTo('admitted');
 		}
 	}
@@ -100,6 +100,7 @@
 		}
 	}
 
+	/** Records that this instance holds the request's claim; it is not admitted yet. */
 	claim(): void {
 		this.#moveTo('claimed');
 	}
@@ -168,9 +169,18 @@
 		this.#nextOffset = 0;
 	}
 
-	/** Ends the request; one that was never admitted ends as refused. */
+	/** Ends a request that gets the answer of an earlier one with the same idempotency key. */
+	endWithKeptAnswer(): void {
+		this.#knownToHaveRun = true;
+		this.admit();
+		this.end();
+	}
+
+	/** Ends the request; one that was never admitted ends as refused. One that ended before stays so. */
 	end(): void {
-		this.#moveTo(this.#state === 'received' ? 'refused' : 'ended');
+		if (this.#state !== 'ended' && this.#state !== 'refused') {
+			this.#moveTo(this.#state === 'received' || this.#state === 'claimed' ? 'refused' : 'ended');
+		}
 	}
 
 	#moveTo(state: RequestState): void {
--- a/src/request/prompt-runner.ts
+++ b/src/request/prompt-runner.ts
@@ -11,7 +11,8 @@
 import {DeliveredText} from './delivered-text.js';
 import type {Dispatch, Dispatcher} from './dispatcher.js';
 import type {RequestLife} from './life.js';
-import {pause} from './time-limit.js';
+import type {SendPermit} from './send-permit.js';
+import {pause, TimeLimit} from './time-limit.js';
 
 /** Connections tried for one stream after it broke. */
 const maximumResumes = 3;
@@ -48,6 +49,11 @@
 	life: RequestLife;
 	facts: Omit<RequestFacts, 'excluded'>;
 	body: readonly Uint8Array[];
+	/**
+	 * Leave to send, where the request needs one.
+	 * @default undefined: it may be sent
+	 */
+	permit?: SendPermit | undefined;
 };
 
 /** Runs prompts. */
@@ -138,6 +144,7 @@
 				throw new CarobquayError('4002', {message: `engine "${upstream}" has gone`});
 			}
 
+			await this.#request.permit?.obtain();
 			attempt = this.#life.beginAttempt();
 			this.#observe({kind: 'sent', requestId, upstream});
 			await this.#readAnswer(engine, attempt, {decision, reservationId});
@@ -291,12 +298,14 @@
 
 	/** Frees the stream at the engine, without waiting for it. */
 	#cancel(engine: EngineClient): void {
-		const signal = AbortSignal.timeout(cancelTimeout);
+		const limit = new TimeLimit(cancelTimeout, `engine "${engine.name}" did not cancel in time`);
 		const cancelled = this.#streamId === undefined
-			? engine.cancelRequest(this.#life.terms.requestId, this.#life.attempt, signal)
-			: engine.cancel(this.#streamId, signal);
+			? engine.cancelRequest(this.#life.terms.requestId, this.#life.attempt, limit.signal)
+			: engine.cancel(this.#streamId, limit.signal);
 		// An engine that cannot be told frees the stream when its orphan lifetime is over.
-		cancelled.catch(() => undefined);
+		cancelled.catch(() => undefined).finally(() => {
+			limit.clear();
+		});
 	}
 
 	#observe(observation: Observation): void {
--- a/src/request/service-runner.ts
+++ b/src/request/service-runner.ts
@@ -9,6 +9,7 @@
 import type {ServiceAnswer, ServiceClient, ServiceRequest} from '../upstream/service.js';
 import type {Dispatcher} from './dispatcher.js';
 import type {RequestLife} from './life.js';
+import type {SendPermit} from './send-permit.js';
 
 /** Attempts of one idempotent call, at different instances. */
 const maximumAttempts = 3;
@@ -25,6 +26,11 @@
 	life: RequestLife;
 	facts: Omit<RequestFacts, 'excluded'>;
 	call: Pick<ServiceRequest, 'method' | 'path' | 'contentType' | 'body'>;
+	/**
+	 * Leave to send, where the call needs one.
+	 * @default undefined: it may be sent
+	 */
+	permit?: SendPermit | undefined;
 };
 
 /** Runs calls of plain services. */
@@ -73,7 +79,7 @@
 		}
 	}
 
-	async #attempt({life, call}: ServiceCall, {upstream}: SendDecision, signal: AbortSignal): Promise<ServiceAnswer> {
+	async #attempt({life, call, permit}: ServiceCall, {upstream}: SendDecision, signal: AbortSignal): Promise<ServiceAnswer> {
 		const {requestId, idempotencyKey} = life.terms;
 		const client = this.#options.service(upstream);
 		let attempt = 0;
@@ -82,6 +88,7 @@
 				throw new CarobquayError('4002', {message: `service instance "${upstream}" has gone`});
 			}
 
+			await permit?.obtain();
 			attempt = life.beginAttempt();
 			this.#observe({kind: 'sent', requestId, upstream});
 			const answer = await client.call({
@@ -106,7 +113,6 @@
 	}
 
 	/** @throws {CarobquayError} The error itself where no further attempt is safe or of use. */
-
 	#mayTryAgain(life: RequestLife, error: CarobquayError, attempts: number, signal: AbortSignal): void {
 		const retryable = ['4002', '4003', '4004', '4005'].includes(error.code);
 		if (signal.aborted || !retryable || !life.mayAttempt || attempts >= maximumAttempts) {
--- a/src/request/time-limit.ts
+++ b/src/request/time-limit.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type {Ran} from '../errors/catalogue.js';
 import {CarobquayError, toCarobquayError} from '../errors/errors.js';
 
 /** Longest delay in milliseconds that the runtime's timers take. */
@@ -49,3 +50,24 @@
 		signal.addEventListener('abort', stop, {once: true});
 	});
 }
+
+/** Resolves as the promise does, or rejects with the signal's reason and what is known about whether the request ran. */
+export async function untilAborted<Result>(result: Promise<Result>, signal: AbortSignal, ran: Ran): Promise<Result> {
+	return new Promise((resolve, reject) => {
+		const stop = () => {
+			const {code, message, retryAfter} = toCarobquayError(signal.reason, ran);
+			reject(new CarobquayError(code, {
+				message, ran, retryAfter, cause: signal.reason,
+			}));
+		};
+
+		if (signal.aborted) {
+			stop();
+		}
+
+		signal.addEventListener('abort', stop, {once: true});
+		result.then(resolve, reject).finally(() => {
+			signal.removeEventListener('abort', stop);
+		});
+	});
+}
--- a/src/upstream/engine-reserver.ts
+++ b/src/upstream/engine-reserver.ts
@@ -5,6 +5,7 @@
  */
 import {CarobquayError} from '../errors/errors.js';
 import type {Reserver} from '../request/dispatcher.js';
+import {TimeLimit} from '../request/time-limit.js';
 import type {RequestFacts, SendDecision} from '../routing/decision.js';
 import type {EngineClient, Reservation} from './engine.js';
 
@@ -31,13 +32,23 @@
 			throw new CarobquayError('4002', {message: `engine "${upstream}" has gone`});
 		}
 
-		return engine.reserve({
+		return within(async signal => engine.reserve({
 			requestId, owner: this.#owner, promptTokens, answerTokens: maximumAnswerTokens, lifetime: reservationLifetime,
-		}, AbortSignal.timeout(reserveTimeout));
+		}, signal));
 	}
 
 	release(upstream: string, reservationId: string): void {
 		// A reservation that cannot be released expires by itself.
-		this.#engine(upstream)?.release(reservationId, AbortSignal.timeout(reserveTimeout)).catch(() => undefined);
+		within(async signal => this.#engine(upstream)?.release(reservationId, signal)).catch(() => undefined);
+	}
+}
+
+/** Makes a call that must be answered in time. */
+async function within<Result>(call: (signal: AbortSignal) => Promise<Result>): Promise<Result> {
+	const limit = new TimeLimit(reserveTimeout, 'the engine did not answer about a reservation in time');
+	try {
+		return await call(limit.signal);
+	} finally {
+		limit.clear();
 	}
 }
