--- /dev/null
+++ b/src/scenario/entry-process.ts
@@ -0,0 +1,109 @@
+/**
+ * An entry instance without its sockets, as one simulated process.
+ *
+ * @module
+ */
+import {performance} from 'node:perf_hooks';
+import {ClaimedRequests} from '../claim/claimed-requests.js';
+import {ClaimStore} from '../claim/claim-store.js';
+import {KeptAnswers} from '../claim/kept-answers.js';
+import type {Configuration} from '../configuration/model.js';
+import {RequestGate} from '../entry/request-gate.js';
+import {GroupCommit} from '../platform/group-commit.js';
+import {SettledWriter} from '../platform/settled-write.js';
+import {Dispatcher} from '../request/dispatcher.js';
+import {PromptRunner} from '../request/prompt-runner.js';
+import {RequestRunner} from '../request/request-runner.js';
+import {ServiceRunner} from '../request/service-runner.js';
+import {Router} from '../routing/router.js';
+import type {EventLog} from '../telemetry/log.js';
+import {UpstreamDirectory} from '../upstream/directory.js';
+import {EngineReserver} from '../upstream/engine-reserver.js';
+import {
+	guardEngine, guardList, guardObjects, guardService, guardTable, type StoreListener,
+} from './guarded-clients.js';
+import type {OutsideSystems} from './outside-systems.js';
+import {ProcessBoundary} from './process-boundary.js';
+
+/** Time in milliseconds that an engine keeps a stream nobody reads. */
+export const orphanLifetime = 5000;
+
+/** Time in milliseconds between readings of the instance list and of load reports. */
+const pollInterval = 1000;
+
+export type EntryProcessOptions = {
+	name: string;
+	outside: OutsideSystems;
+	configuration: Configuration;
+	log: EventLog;
+	onStoreCall: StoreListener;
+};
+
+/** A simulated entry instance. */
+export class EntryProcess {
+	readonly name: string;
+	readonly boundary = new ProcessBoundary();
+	readonly gate = new RequestGate();
+	readonly requests: RequestRunner;
+	readonly claims: ClaimStore;
+	readonly #router: Router;
+	readonly #dispatcher: Dispatcher;
+	readonly #directory: UpstreamDirectory;
+
+	constructor({name, outside, configuration, log, onStoreCall}: EntryProcessOptions) {
+		const owner = `${name}/1`;
+		const guard = {boundary: this.boundary, listener: onStoreCall};
+		const table = guardTable(outside.table, guard);
+		this.name = name;
+		this.#router = new Router({instance: name, failureDomain: 'tartu-a', seed: 1});
+		this.#router.setConfiguration(configuration, performance.now());
+		this.#directory = this.#createDirectory(outside, guardList(outside.instances, guard), log);
+		this.#dispatcher = new Dispatcher({
+			source: this.#router, reserver: new EngineReserver(upstream => this.#directory.engine(upstream), owner),
+		});
+		this.claims = new ClaimStore({table, committer: new GroupCommit(new SettledWriter(table)), log});
+		this.requests = new RequestRunner({
+			prompts: new PromptRunner({
+				dispatcher: this.#dispatcher, engine: upstream => this.#directory.engine(upstream), owner, orphanLifetime,
+			}),
+			services: new ServiceRunner({dispatcher: this.#dispatcher, service: upstream => this.#directory.service(upstream)}),
+			claims: new ClaimedRequests({
+				store: this.claims, answers: new KeptAnswers(guardObjects(outside.objects, guard), log), owner, log,
+			}),
+		});
+	}
+
+	async start(): Promise<void> {
+		await this.#directory.start();
+	}
+
+	async stop(): Promise<void> {
+		await this.#directory.stop();
+	}
+
+	#createDirectory(outside: OutsideSystems, instances: ReturnType<typeof guardList>, log: EventLog): UpstreamDirectory {
+		const router = this.#router;
+		return new UpstreamDirectory({
+			instances,
+			log,
+			listInterval: pollInterval,
+			loadInterval: pollInterval,
+			connector: {
+				engine: ({name}) => guardEngine(outside.engine(name), this.boundary),
+				service: ({name}) => guardService(outside.service(name), this.boundary),
+			},
+			listener: {
+				upstreamsChanged(upstreams, now) {
+					router.setUpstreams(upstreams, now);
+				},
+				observe: observation => {
+					this.#dispatcher.observe(observation);
+				},
+				lastCacheSequence: upstream => router.lastCacheSequence(upstream),
+				get toResync() {
+					return router.toResync;
+				},
+			},
+		});
+	}
+}
