--- a/src/entry/instance.ts
+++ b/src/entry/instance.ts
@@ -6,12 +6,21 @@
 import {randomUUID} from 'node:crypto';
 import {performance} from 'node:perf_hooks';
 import {collectDefaultMetrics, Registry} from 'prom-client';
+import {ClaimedRequests} from '../claim/claimed-requests.js';
+import {ClaimStore} from '../claim/claim-store.js';
+import {KeptAnswers} from '../claim/kept-answers.js';
 import {ConfigurationStore, type AcceptedConfiguration} from '../configuration/store.js';
 import {CarobquayError} from '../errors/errors.js';
+import {GroupCommit} from '../platform/group-commit.js';
 import type {Platform} from '../platform/platform.js';
+import {SettledWriter} from '../platform/settled-write.js';
 import {Dispatcher} from '../request/dispatcher.js';
+import {ListedOwners} from '../request/listed-owners.js';
+import {OrphanReaper} from '../request/orphan-reaper.js';
 import {PromptReader} from '../request/prompt-reader.js';
 import {PromptRunner} from '../request/prompt-runner.js';
+import {RequestRunner} from '../request/request-runner.js';
+import {RetryPolicy} from '../request/retry-policy.js';
 import {ServiceRunner} from '../request/service-runner.js';
 import {Router} from '../routing/router.js';
 import type {ResolvedSettings} from '../settings/schema.js';
@@ -52,6 +61,9 @@
 	readonly #dispatcher: Dispatcher;
 	readonly #directory: UpstreamDirectory;
 	readonly #store: ConfigurationStore;
+	readonly #claims: ClaimStore;
+	readonly #owners = new ListedOwners();
+	readonly #reaper: OrphanReaper;
 	readonly #callers: HttpListener;
 	readonly #operators: HttpListener;
 	#inForce: InForce | undefined;
@@ -73,7 +85,11 @@
 				this.#enforce(accepted);
 			},
 		});
-		this.#callers = new HttpListener(this.#createCallers(metrics).fetch);
+		this.#reaper = new OrphanReaper({
+			engines: () => this.#directory.engines, isOwnerDead: owner => this.#owners.isDead(owner, performance.now()), log: this.#log,
+		});
+		this.#claims = new ClaimStore({table: platform.table, committer: new GroupCommit(new SettledWriter(platform.table)), log: this.#log});
+		this.#callers = new HttpListener(this.#createCallers(metrics, platform).fetch);
 		this.#operators = new HttpListener(operatorsApplication({
 			keyHash: settings.operators.keyHash,
 			registry: this.#registry,
@@ -111,6 +127,7 @@
 		const {callers, operators} = this.#settings;
 		const operatorsAddress = await this.#operators.listen(operators.host, operators.port);
 		await Promise.all([this.#store.start(), this.#directory.start()]);
+		this.#reaper.start();
 		const callersAddress = await this.#callers.listen(callers.host, callers.port);
 		this.#log.info('instance.started', {callers: callersAddress, operators: operatorsAddress, incarnation: this.#incarnation});
 		return {callers: callersAddress, operators: operatorsAddress};
@@ -127,7 +144,7 @@
 		const timeUp = new Promise<boolean>(resolve => {
 			timer = setTimeout(resolve, this.#settings.limits.shutdown, false);
 		});
-		const ended = await Promise.race([this.#gate.close().then(() => true), timeUp]);
+		const ended = await Promise.race([this.#endAll().then(() => true), timeUp]);
 		clearTimeout(timer);
 		await this.stop();
 		this.#log.info('instance.stopped', {ended});
@@ -136,6 +153,7 @@
 
 	/** Stops at once, cutting what is in flight. */
 	async stop(): Promise<void> {
+		this.#reaper.stop();
 		this.#store.stop();
 		const closed = Promise.all([this.#callers.close(), this.#operators.close()]);
 		this.#callers.destroy();
@@ -143,6 +161,12 @@
 		await Promise.all([closed, this.#directory.stop(), this.#reader.close()]);
 	}
 
+	/** Resolves when no request is in flight and the table has the endings of all claims. */
+	async #endAll(): Promise<void> {
+		await this.#gate.close();
+		await this.#claims.settled();
+	}
+
 	#enforce({configuration}: AcceptedConfiguration): void {
 		this.#inForce = {configuration, keys: new KeyRing(configuration)};
 		this.#router.setConfiguration(configuration, performance.now());
@@ -163,6 +187,9 @@
 				observe: observation => {
 					this.#dispatcher.observe(observation);
 				},
+				listed: (snapshot, now) => {
+					this.#owners.observe(snapshot, now);
+				},
 				lastCacheSequence: upstream => router.lastCacheSequence(upstream),
 				get toResync() {
 					return router.toResync;
@@ -184,8 +211,8 @@
 		});
 	}
 
-	#createCallers(metrics: RequestMetrics) {
-		const {limits, upstreams} = this.#settings;
+	#createCallers(metrics: RequestMetrics, platform: Platform) {
+		const {limits} = this.#settings;
 		return callersApplication({
 			inForce: () => {
 				if (this.#inForce === undefined) {
@@ -195,17 +222,28 @@
 				return this.#inForce;
 			},
 			reader: this.#reader,
+			requests: this.#createRequests(platform),
+			gate: this.#gate,
+			limits: {size: limits.body, silence: limits.callerSilence, memory: this.#memory},
+			log: this.#log,
+			metrics,
+		});
+	}
+
+	#createRequests(platform: Platform): RequestRunner {
+		const retries = new RetryPolicy();
+		return new RequestRunner({
 			prompts: new PromptRunner({
 				dispatcher: this.#dispatcher,
+				retries,
 				engine: name => this.#directory.engine(name),
 				owner: this.#owner,
-				orphanLifetime: upstreams.orphanLifetime,
+				orphanLifetime: this.#settings.upstreams.orphanLifetime,
+			}),
+			services: new ServiceRunner({dispatcher: this.#dispatcher, retries, service: name => this.#directory.service(name)}),
+			claims: new ClaimedRequests({
+				store: this.#claims, answers: new KeptAnswers(platform.objects, this.#log), owner: this.#owner, log: this.#log,
 			}),
-			services: new ServiceRunner({dispatcher: this.#dispatcher, service: name => this.#directory.service(name)}),
-			gate: this.#gate,
-			limits: {size: limits.body, silence: limits.callerSilence, memory: this.#memory},
-			log: this.#log,
-			metrics,
 		});
 	}
 
