feat(fleet): links, membership and shared upstream loads between instances

Cause: instances knew nothing of each other; each read every load of every upstream. Change: authenticated frames over TCP with key rotation; links that are left when silent; membership with incarnations and suspicion before death; a generation announced and its document given on demand; one watcher for each upstream above [upstreams] direct_limit, chosen by rendezvous, which passes material changes on within 2000 bytes a second; leaving told at once. Ruled out: records as CBOR maps for loads (12 fixed bytes instead); repeating claims while nothing changes.

--- a/src/__tests__/support/processes.ts
+++ b/src/__tests__/support/processes.ts
@@ -164,7 +164,7 @@
 	readonly #processes: ProgramProcess[] = [];
 
 	/** Declares an upstream in the instance list. */
-	async declare(kind: 'engine' | 'service', name: string, address: string, state: 'live' | 'leaving' = 'live'): Promise<void> {
+	async declare(kind: 'entry' | 'engine' | 'service', name: string, address: string, state: 'live' | 'leaving' = 'live'): Promise<void> {
 		await request(`http://${this.platform.instances}/admin/instances/${name}`, {
 			method: 'PUT',
 			headers: {'content-type': 'application/json'},
--- a/src/commands/status.ts
+++ b/src/commands/status.ts
@@ -19,6 +19,9 @@
 	generation: z.number(),
 	inFlight: z.number(),
 	waiting: z.number(),
+	members: z.array(z.object({
+		name: z.string(), state: z.string(), failureDomain: z.string(), region: z.string(), address: z.string(),
+	})).default([]),
 	upstreams: z.array(z.object({
 		name: z.string(), kind: z.string(), failureDomain: z.string(), state: z.string(), labels: z.record(z.string(), z.string()),
 	})),
@@ -38,4 +41,10 @@
 	printTable(['UPSTREAM', 'KIND', 'DOMAIN', 'STATE', 'LABELS'], answer.upstreams.map(upstream => [
 		upstream.name, upstream.kind, upstream.failureDomain, upstream.state, Object.entries(upstream.labels).map(label => label.join('=')).join(','),
 	]));
+	if (answer.members.length > 0) {
+		print('');
+		printTable(['INSTANCE', 'DOMAIN', 'REGION', 'STATE', 'ADDRESS'], answer.members.map(member => [
+			member.name, member.failureDomain, member.region, member.state, member.address,
+		]));
+	}
 }
--- a/src/configuration/store.ts
+++ b/src/configuration/store.ts
@@ -75,6 +75,13 @@
 		return configuration;
 	}
 
+	/** Takes a configuration that another instance has in force, if it is newer. */
+	offer(generation: number, text: string): void {
+		if (generation > (this.#current?.configuration.generation ?? 0)) {
+			this.#take({configuration: parseConfiguration(text, generation), text});
+		}
+	}
+
 	async #read(): Promise<{generation: number; text: string; version: number} | undefined> {
 		const [item] = await this.#options.table.read([currentKey]);
 		return item && {...storedConfiguration.parse(item.value), version: item.version};
--- a/src/entry/instance.ts
+++ b/src/entry/instance.ts
@@ -9,6 +9,7 @@
 import {ConfigurationStore, type AcceptedConfiguration} from '../configuration/store.js';
 import {CarobquayError} from '../errors/errors.js';
 import type {Platform} from '../platform/platform.js';
+import {FleetPart} from '../fleet/fleet-part.js';
 import {Dispatcher} from '../request/dispatcher.js';
 import {PromptReader} from '../request/prompt-reader.js';
 import {PromptRunner} from '../request/prompt-runner.js';
@@ -54,6 +55,7 @@
 	readonly #store: ConfigurationStore;
 	readonly #callers: HttpListener;
 	readonly #operators: HttpListener;
+	readonly #fleet: FleetPart | undefined;
 	#inForce: InForce | undefined;
 
 	constructor({settings, platform, connector, log}: EntryInstanceOptions) {
@@ -63,6 +65,7 @@
 		this.#router = new Router({instance: settings.instance.name, failureDomain: settings.instance.failureDomain});
 		const metrics = new RequestMetrics(this.#registry, () => this.#gate.inFlight);
 		collectDefaultMetrics({register: this.#registry, prefix: 'carobquay_'});
+		this.#fleet = this.#createFleet();
 		this.#directory = this.#createDirectory(platform, connector);
 		this.#dispatcher = this.#createDispatcher(metrics);
 		this.#store = new ConfigurationStore({
@@ -98,6 +101,7 @@
 			waiting: this.#dispatcher.waiting,
 			bodyBytes: this.#memory.held,
 			upstreams: this.#directory.upstreams,
+			members: this.#fleet?.members ?? [],
 		};
 	}
 
@@ -110,6 +114,7 @@
 	async start(): Promise<InstanceAddresses> {
 		const {callers, operators} = this.#settings;
 		const operatorsAddress = await this.#operators.listen(operators.host, operators.port);
+		await this.#fleet?.start();
 		await Promise.all([this.#store.start(), this.#directory.start()]);
 		const callersAddress = await this.#callers.listen(callers.host, callers.port);
 		this.#log.info('instance.started', {callers: callersAddress, operators: operatorsAddress, incarnation: this.#incarnation});
@@ -123,6 +128,7 @@
 	 */
 	async shutdown(): Promise<boolean> {
 		this.#log.info('instance.stopping', {in_flight: this.#gate.inFlight});
+		this.#fleet?.leave();
 		let timer: NodeJS.Timeout | undefined;
 		const timeUp = new Promise<boolean>(resolve => {
 			timer = setTimeout(resolve, this.#settings.limits.shutdown, false);
@@ -136,6 +142,7 @@
 
 	/** Stops at once, cutting what is in flight. */
 	async stop(): Promise<void> {
+		this.#fleet?.stop();
 		this.#store.stop();
 		const closed = Promise.all([this.#callers.close(), this.#operators.close()]);
 		this.#callers.destroy();
@@ -146,6 +153,23 @@
 	#enforce({configuration}: AcceptedConfiguration): void {
 		this.#inForce = {configuration, keys: new KeyRing(configuration)};
 		this.#router.setConfiguration(configuration, performance.now());
+		this.#fleet?.generationInForce();
+	}
+
+	/** Links to the other instances, where the settings give keys for them. */
+	#createFleet(): FleetPart | undefined {
+		const {instance, peers, upstreams} = this.#settings;
+		return peers.keys.length === 0
+			? undefined
+			: new FleetPart({
+				...instance,
+				...peers,
+				...upstreams,
+				log: this.#log,
+				router: this.#router,
+				store: () => this.#store,
+				directory: () => this.#directory,
+			});
 	}
 
 	#createDirectory(platform: Platform, connector: UpstreamConnector): UpstreamDirectory {
@@ -156,6 +180,7 @@
 			log: this.#log,
 			listInterval: this.#settings.upstreams.listInterval,
 			loadInterval: this.#settings.upstreams.loadInterval,
+			sharing: this.#fleet?.sharing,
 			listener: {
 				upstreamsChanged(upstreams, now) {
 					router.setUpstreams(upstreams, now);
--- a/src/entry/operators.ts
+++ b/src/entry/operators.ts
@@ -10,6 +10,7 @@
 import {z} from 'zod';
 import type {ConfigurationStore} from '../configuration/store.js';
 import {CarobquayError, toCarobquayError} from '../errors/errors.js';
+import type {MemberClaim} from '../fleet/messages.js';
 import type {Router} from '../routing/router.js';
 import type {UpstreamDescription} from '../routing/observation.js';
 import {isOperator} from './authentication.js';
@@ -28,6 +29,8 @@
 	waiting: number;
 	bodyBytes: number;
 	upstreams: readonly UpstreamDescription[];
+	/** Instances of the fleet as this one believes; empty without links between instances. */
+	members: readonly MemberClaim[];
 };
 
 /** What the operators' port works with. */
--- /dev/null
+++ b/src/fleet/link-set.ts
@@ -0,0 +1,47 @@
+/**
+ * The links of one instance.
+ *
+ * @module
+ */
+import type {Link} from './link.js';
+
+/** Links that are open or opening. */
+export class LinkSet {
+	readonly #links = new Set<Link>();
+	#closedBytes = 0;
+
+	/** All links, also those whose other end has not said its name. */
+	get all(): Link[] {
+		return [...this.#links];
+	}
+
+	/** Links whose other end is known. */
+	get open(): Link[] {
+		return this.all.filter(({peer}) => peer !== undefined);
+	}
+
+	/** Bytes sent and received on all links so far, without the headers of TCP. */
+	get bytes(): number {
+		return this.all.reduce((sum, link) => sum + link.bytes, this.#closedBytes);
+	}
+
+	add(link: Link): void {
+		this.#links.add(link);
+	}
+
+	remove(link: Link): void {
+		if (this.#links.delete(link)) {
+			this.#closedBytes += link.bytes;
+		}
+	}
+
+	/** The link to an instance. */
+	to(name: string): Link | undefined {
+		return this.all.find(({peer}) => peer === name);
+	}
+
+	/** Open links besides one. */
+	others(excluded: Link | undefined): Link[] {
+		return this.open.filter(link => link !== excluded);
+	}
+}
--- /dev/null
+++ b/src/fleet/load-sharing.ts
@@ -0,0 +1,125 @@
+/**
+ * Divides the reading of upstream loads among instances and passes changes on within a budget of bytes.
+ *
+ * @module
+ */
+import {performance} from 'node:perf_hooks';
+import type {ListedInstance} from '../platform/instance-list.js';
+import type {LoadSharing, SharedLoad} from '../upstream/directory.js';
+import {
+	loadAge, loadDigestSize, type LoadDigest, loadVersion,
+} from './load-digest.js';
+import {hashText} from './rendezvous.js';
+
+/** Bytes in each second that an instance may spend on loads, sent and received. */
+const byteBudget = 2000;
+
+/** Part of a load's figures by which it must have changed to be passed on. */
+const materialShare = 0.1;
+
+/** Time in milliseconds between two readings by an instance that is not the watcher, for each upstream listed. */
+const unwatchedIntervalPerUpstream = 1000;
+
+/** The part of a fleet that sharing needs. */
+export interface LoadChannel {
+	isWatcher(upstream: string): boolean;
+	publishLoad(load: LoadDigest): void;
+	setListed(instances: readonly ListedInstance[]): void;
+}
+
+export type LoadSharingOptions = {
+	channel: LoadChannel;
+	/** Members that each instance dials: a load passes each instance about twice this number of times. */
+	fanOut: number;
+	/** Time in milliseconds between readings of an upstream by its watcher. */
+	loadInterval: number;
+	/** Number of upstreams up to which every instance reads all of them itself. */
+	directLimit: number;
+};
+
+/** Decides when to read a load and when to pass it on. */
+export class WatcherSharing implements LoadSharing {
+	readonly #options: LoadSharingOptions;
+	readonly #published = new Map<string, {load: SharedLoad; at: number}>();
+	#names = new Map<number, string>();
+
+	constructor(options: LoadSharingOptions) {
+		this.#options = options;
+	}
+
+	/** Time in milliseconds between two digests of one upstream, so that all of them stay within the budget. */
+	get digestInterval(): number {
+		const copies = 2 * this.#options.fanOut;
+		return Math.max(this.#options.loadInterval, this.#names.size * loadDigestSize * copies / byteBudget * 1000);
+	}
+
+	interval(upstream: string): number {
+		const {channel, loadInterval} = this.#options;
+		if (this.#isDirect || channel.isWatcher(upstream)) {
+			return loadInterval;
+		}
+
+		return Math.max(loadInterval, this.#names.size * unwatchedIntervalPerUpstream);
+	}
+
+	loadRead(upstream: string, load: SharedLoad): void {
+		const {channel} = this.#options;
+		const last = this.#published.get(upstream);
+		const now = performance.now();
+		const isUrgent = load.leaving !== (last?.load.leaving ?? false);
+		const isDue = channel.isWatcher(upstream) && (!last || (now - last.at >= this.digestInterval && isMaterial(last.load, load)));
+		if (!isUrgent && (this.#isDirect || !isDue)) {
+			return;
+		}
+
+		this.#published.set(upstream, {load, at: now});
+		channel.publishLoad({
+			upstream: hashText(upstream),
+			version: loadVersion(),
+			running: load.running,
+			waiting: load.waiting,
+			pendingPromptTokens: load.pendingPromptTokens,
+			freePercent: 100 * load.freeShare,
+			leaving: load.leaving,
+		});
+	}
+
+	listed(instances: readonly ListedInstance[]): void {
+		const names = instances.filter(({kind}) => kind !== 'entry').map(({name}) => name);
+		this.#names = new Map(names.map(name => [hashText(name), name]));
+		for (const name of this.#published.keys()) {
+			if (!this.#names.has(hashText(name))) {
+				this.#published.delete(name);
+			}
+		}
+
+		this.#options.channel.setListed(instances);
+	}
+
+	/** Name and load that a digest stands for; undefined where the upstream is not listed. */
+	resolve(digest: LoadDigest): {upstream: string; load: SharedLoad} | undefined {
+		const upstream = this.#names.get(digest.upstream);
+		const {running, waiting, pendingPromptTokens, freePercent, leaving} = digest;
+		return upstream === undefined
+			? undefined
+			: {
+				upstream,
+				load: {
+					age: loadAge(digest.version), running, waiting, pendingPromptTokens, freeShare: freePercent / 100, leaving,
+				},
+			};
+	}
+
+	get #isDirect(): boolean {
+		return this.#names.size <= this.#options.directLimit;
+	}
+}
+
+function isMaterial(before: SharedLoad, now: SharedLoad): boolean {
+	return differs(before.running, now.running) || differs(before.waiting, now.waiting)
+		|| differs(before.pendingPromptTokens, now.pendingPromptTokens) || Math.abs(before.freeShare - now.freeShare) > materialShare;
+}
+
+function differs(before: number, now: number): boolean {
+	return Math.abs(before - now) > materialShare * Math.max(before, now);
+}
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -98,6 +98,7 @@
 		silence: setting(duration, {defaultText: '5 s', example: '5 s', description: 'Longest silence of an upstream on an open answer before its connection is left.'}),
 		list_interval: setting(duration, {defaultText: '1 s', example: '1 s', description: 'Time between readings of the instance list.'}),
 		load_interval: setting(duration, {defaultText: '500 ms', example: '500 ms', description: 'Time between load reports asked of an upstream.'}),
+		direct_limit: setting(wholeNumber(0, 100_000), {defaultText: '40', example: '40', description: 'Number of upstreams up to which every instance reads all loads itself; above it, one watcher for each upstream reads and tells the others. Has an effect only with [peers] keys.'}),
 		orphan_lifetime: setting(duration, {defaultText: '10 s', example: '10 s', description: 'Time that an engine keeps a stream that nobody reads.'}),
 	},
 	limits: {
--- a/src/upstream/directory.ts
+++ b/src/upstream/directory.ts
@@ -8,8 +8,8 @@
 import type {Observation, UpstreamDescription, UpstreamState} from '../routing/observation.js';
 import type {EventLog} from '../telemetry/log.js';
 import {errorMessage} from '../errors/errors.js';
-import type {EngineClient} from './engine.js';
-import type {ServiceClient} from './service.js';
+import type {EngineClient, LoadReport} from './engine.js';
+import type {ServiceClient, ServiceLoad} from './service.js';
 
 /** Makes clients in the wire form that the settings name. */
 export interface UpstreamConnector {
@@ -33,6 +33,28 @@
 	lastCacheSequence(upstream: string): number;
 }
 
+/** Load of an upstream, read by this instance or learned from another. */
+export type SharedLoad = {
+	/** Time in milliseconds since the load was read. */
+	age: number;
+	running: number;
+	waiting: number;
+	pendingPromptTokens: number;
+	/** Free part of KV memory, from 0 to 1. */
+	freeShare: number;
+	leaving: boolean;
+};
+
+/** Divides the reading of loads among instances. */
+export interface LoadSharing {
+	/** Time in milliseconds until this instance should read a load again. */
+	interval(upstream: string): number;
+	/** Takes a load that this instance has read. */
+	loadRead(upstream: string, load: SharedLoad): void;
+	/** Takes the instances of each reading of the list. */
+	listed(instances: readonly ListedInstance[]): void;
+}
+
 /** What the directory works with. */
 export type DirectoryOptions = {
 	instances: InstanceList;
@@ -43,6 +65,11 @@
 	listInterval: number;
 	/** Time in milliseconds between load reports asked of an upstream. */
 	loadInterval: number;
+	/**
+	 * Divides the reading of loads among instances.
+	 * @default this instance reads all of them
+	 */
+	sharing?: LoadSharing;
 };
 
 /** Failed load reports in a row after which an upstream counts as down. */
@@ -57,6 +84,8 @@
 	/** Leaving by its own load report, which may come before the list says so. */
 	leaving: boolean;
 	failures: number;
+	/** Newest report, read here or completed by a load from another instance. */
+	report: LoadReport | undefined;
 	timer: NodeJS.Timeout | undefined;
 };
 
@@ -102,9 +131,44 @@
 		return [...this.#entries.values()].map(entry => describe(entry));
 	}
 
+	/** Plans the next reading of every load anew, after watchers have changed. */
+	reschedule(): void {
+		for (const entry of this.#entries.values()) {
+			// An entry without a timer is being read and plans its next reading itself.
+			if (entry.timer !== undefined) {
+				this.#schedule(entry);
+			}
+		}
+	}
+
+	/** Takes in a load that another instance has read. */
+	learn(upstream: string, load: SharedLoad): void {
+		const entry = this.#entries.get(upstream);
+		if (!entry) {
+			return;
+		}
+
+		const before = describe(entry).state;
+		entry.leaving = load.leaving;
+		if (entry.report) {
+			entry.report = completeReport(entry.report, load);
+			this.#options.listener.observe({kind: 'load', upstream, report: entry.report}, performance.now());
+		} else if (entry.client.kind === 'service') {
+			this.#options.listener.observe({
+				kind: 'service-load', upstream, running: load.running, leaving: load.leaving,
+			}, performance.now());
+		}
+
+		if (describe(entry).state !== before) {
+			this.#options.log.info('upstream.state', {upstream, from: before, to: describe(entry).state});
+			this.#publish();
+		}
+	}
+
 	async #readList(): Promise<void> {
 		try {
 			const {instances} = await this.#options.instances.read();
+			this.#options.sharing?.listed(instances);
 			this.#apply(instances);
 			this.#listFailed = false;
 		} catch (error) {
@@ -164,7 +228,7 @@
 			? {kind: 'engine', engine: connector.engine(instance)}
 			: {kind: 'service', service: connector.service(instance)};
 		const entry: Entry = {
-			instance, client, leaving: false, failures: 0, timer: undefined,
+			instance, client, leaving: false, failures: 0, report: undefined, timer: undefined,
 		};
 		this.#entries.set(instance.name, entry);
 		log.info('upstream.added', {upstream: instance.name, kind: instance.kind, address: instance.address});
@@ -200,9 +264,18 @@
 			this.#publish();
 		}
 
+		this.#schedule(entry);
+	}
+
+	#schedule(entry: Entry): void {
+		clearTimeout(entry.timer);
+		const {loadInterval, sharing} = this.#options;
+		// A load that could not be read is read again soon, whoever else reads it.
+		const interval = entry.failures === 0 && sharing ? sharing.interval(entry.instance.name) : loadInterval;
 		entry.timer = setTimeout(() => {
+			entry.timer = undefined;
 			void this.#readLoad(entry);
-		}, spread(this.#options.loadInterval));
+		}, spread(interval));
 	}
 
 	async #askLoad(entry: Entry): Promise<void> {
@@ -212,13 +285,16 @@
 			const load = await entry.client.service.load();
 			entry.leaving = load.leaving;
 			listener.observe({kind: 'service-load', upstream, ...load}, performance.now());
+			this.#options.sharing?.loadRead(upstream, sharedServiceLoad(load));
 			return;
 		}
 
 		const {engine} = entry.client;
 		const report = await engine.load();
 		entry.leaving = report.leaving;
+		entry.report = report;
 		listener.observe({kind: 'load', upstream, report}, performance.now());
+		this.#options.sharing?.loadRead(upstream, sharedEngineLoad(report));
 		await this.#askCache(engine);
 	}
 
@@ -249,6 +325,28 @@
 	};
 }
 
+/** Rise of a report's sequence for each load from another instance; less than the engine's own step of 1. */
+const sharedSequenceStep = 1 / 1_048_576;
+
+/** The last whole report with the figures of a newer load. */
+function completeReport(report: LoadReport, {age, running, waiting, pendingPromptTokens, freeShare, leaving}: SharedLoad): LoadReport {
+	return {
+		...report, age, running, waiting, pendingPromptTokens, leaving, freeBlocks: Math.round(freeShare * report.totalBlocks), sequence: report.sequence + sharedSequenceStep,
+	};
+}
+
+function sharedEngineLoad({age, running, waiting, pendingPromptTokens, freeBlocks, totalBlocks, leaving}: LoadReport): SharedLoad {
+	return {
+		age, running, waiting, pendingPromptTokens, freeShare: totalBlocks === 0 ? 0 : freeBlocks / totalBlocks, leaving,
+	};
+}
+
+function sharedServiceLoad({running, leaving}: ServiceLoad): SharedLoad {
+	return {
+		age: 0, running, waiting: 0, pendingPromptTokens: 0, freeShare: 0, leaving,
+	};
+}
+
 async function closeEntry(entry: Entry): Promise<void> {
 	clearTimeout(entry.timer);
 	await (entry.client.kind === 'engine' ? entry.client.engine.close() : entry.client.service.close());
