--- a/src/cli.ts
+++ b/src/cli.ts
@@ -54,7 +54,8 @@
 
 examples(withOperator(program.command('apply')), 'apply --file pools.ini', 'apply --file pools.ini --address 10.0.1.5:9090 --key "$KEY"')
 	.description('propose a configuration')
-	.requiredOption('--file <file>', 'configuration document')
+	.option('--file <file>', 'configuration document')
+	.option('--rollback <generation>', 'propose the document of an older generation again')
 	.action(async (options: ApplyOptions) => {
 		const {apply} = await import('./commands/apply.js');
 		await apply(options);
@@ -62,6 +63,8 @@
 
 examples(withOperator(program.command('get')), 'get > pools.ini', 'get --json')
 	.description('print the configuration in force')
+	.option('--history', 'print the newest changes, who made them and when')
+	.option('--diff <generations...>', 'print what differs between two generations')
 	.action(async (options: GetOptions) => {
 		const {get} = await import('./commands/get.js');
 		await get(options);
--- a/src/entry/operators.ts
+++ b/src/entry/operators.ts
@@ -14,6 +14,7 @@
 import type {Router} from '../routing/router.js';
 import type {UpstreamDescription} from '../routing/observation.js';
 import {isOperator} from './authentication.js';
+import {configurationRoutes} from './configuration-routes.js';
 import {errorBody, errorHeaders} from './error-response.js';
 
 /** State of an instance, as operators see it. */
@@ -71,14 +72,7 @@
 	});
 	application.get('/metrics', async context => context.body(await options.registry.metrics(), 200, {'content-type': options.registry.contentType}));
 	application.get('/v1/status', context => context.json({...options.status(), router: options.router.snapshot()}));
-	application.get('/v1/configuration', context => {
-		const {current} = options.store;
-		return context.json({generation: current?.configuration.generation ?? 0, text: current?.text ?? ''});
-	});
-	application.put('/v1/configuration', async context => {
-		const {generation} = await options.store.apply(await context.req.text());
-		return context.json({generation});
-	});
+	application.route('/v1/configuration', configurationRoutes(options.store));
 	application.get('/v1/explain', context => context.json(explain(options.router, context)));
 	return application;
 }
--- a/src/settings/closest-name.ts
+++ b/src/settings/closest-name.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {get as distance} from 'fast-levenshtein';
+import levenshtein from 'fast-levenshtein';
 
 /** Most letters that may differ for a name to be suggested. */
 const maximumDistance = 3;
@@ -11,7 +11,7 @@
 /** Text that suggests the closest known name, or lists the known names where none is close. */
 export function closestName(name: string, known: readonly string[]): string {
 	const ranked = known
-		.map(candidate => ({candidate, steps: distance(name, candidate)}))
+		.map(candidate => ({candidate, steps: levenshtein.get(name, candidate)}))
 		.toSorted((left, right) => left.steps - right.steps);
 	const best = ranked[0];
 	if (best !== undefined && best.steps <= maximumDistance) {
