--- a/src/entry/instance.ts
+++ b/src/entry/instance.ts
@@ -14,6 +14,7 @@
 import {GroupCommit} from '../platform/group-commit.js';
 import type {Platform} from '../platform/platform.js';
 import {SettledWriter} from '../platform/settled-write.js';
+import {FleetPart} from '../fleet/fleet-part.js';
 import {Dispatcher} from '../request/dispatcher.js';
 import {ListedOwners} from '../request/listed-owners.js';
 import {OrphanReaper} from '../request/orphan-reaper.js';
@@ -66,6 +67,7 @@
 	readonly #reaper: OrphanReaper;
 	readonly #callers: HttpListener;
 	readonly #operators: HttpListener;
+	readonly #fleet: FleetPart | undefined;
 	#inForce: InForce | undefined;
 
 	constructor({settings, platform, connector, log}: EntryInstanceOptions) {
@@ -75,6 +77,7 @@
 		this.#router = new Router({instance: settings.instance.name, failureDomain: settings.instance.failureDomain});
 		const metrics = new RequestMetrics(this.#registry, () => this.#gate.inFlight);
 		collectDefaultMetrics({register: this.#registry, prefix: 'carobquay_'});
+		this.#fleet = this.#createFleet();
 		this.#directory = this.#createDirectory(platform, connector);
 		this.#dispatcher = this.#createDispatcher(metrics);
 		this.#store = new ConfigurationStore({
@@ -114,6 +117,7 @@
 			waiting: this.#dispatcher.waiting,
 			bodyBytes: this.#memory.held,
 			upstreams: this.#directory.upstreams,
+			members: this.#fleet?.members ?? [],
 		};
 	}
 
@@ -126,6 +130,7 @@
 	async start(): Promise<InstanceAddresses> {
 		const {callers, operators} = this.#settings;
 		const operatorsAddress = await this.#operators.listen(operators.host, operators.port);
+		await this.#fleet?.start();
 		await Promise.all([this.#store.start(), this.#directory.start()]);
 		this.#reaper.start();
 		const callersAddress = await this.#callers.listen(callers.host, callers.port);
@@ -140,6 +145,7 @@
 	 */
 	async shutdown(): Promise<boolean> {
 		this.#log.info('instance.stopping', {in_flight: this.#gate.inFlight});
+		this.#fleet?.leave();
 		let timer: NodeJS.Timeout | undefined;
 		const timeUp = new Promise<boolean>(resolve => {
 			timer = setTimeout(resolve, this.#settings.limits.shutdown, false);
@@ -154,6 +160,7 @@
 	/** Stops at once, cutting what is in flight. */
 	async stop(): Promise<void> {
 		this.#reaper.stop();
+		this.#fleet?.stop();
 		this.#store.stop();
 		const closed = Promise.all([this.#callers.close(), this.#operators.close()]);
 		this.#callers.destroy();
@@ -170,6 +177,23 @@
 	#enforce({configuration}: AcceptedConfiguration): void {
 		this.#inForce = {configuration, keys: new KeyRing(configuration)};
 		this.#router.setConfiguration(configuration, performance.now());
+		this.#fleet?.generationInForce();
+	}
+
+	/** Links to the other instances, where the settings give keys for them. */
+	#createFleet(): FleetPart | undefined {
+		const {instance, peers, upstreams} = this.#settings;
+		return peers.keys.length === 0
+			? undefined
+			: new FleetPart({
+				...instance,
+				...peers,
+				...upstreams,
+				log: this.#log,
+				router: this.#router,
+				store: () => this.#store,
+				directory: () => this.#directory,
+			});
 	}
 
 	#createDirectory(platform: Platform, connector: UpstreamConnector): UpstreamDirectory {
@@ -180,6 +204,7 @@
 			log: this.#log,
 			listInterval: this.#settings.upstreams.listInterval,
 			loadInterval: this.#settings.upstreams.loadInterval,
+			sharing: this.#fleet?.sharing,
 			listener: {
 				upstreamsChanged(upstreams, now) {
 					router.setUpstreams(upstreams, now);
