feat(ledger): a chained ledger of promises, and carobquay audit

Cause: nothing showed afterwards whether a promise to a caller was kept. Wired through RequestObserver into the callers' port, and closed at shutdown. EntryInstance has no tail keeper until the links between instances carry it. Ruled out: a put for each request (stops requests with the store), the tail in the table (competes with claims for writes), CBOR segments (not readable by standard tools). Conclusion: without a keeper a dying instance loses at most what came since its last written segment; with one, what came since the last message held.

--- a/src/cli.ts
+++ b/src/cli.ts
@@ -6,6 +6,7 @@
 import process from 'node:process';
 import {Command} from 'commander';
 import type {ApplyOptions} from './commands/apply.js';
+import type {AuditOptions} from './commands/audit.js';
 import type {CheckOptions} from './commands/check.js';
 import type {ExplainOptions} from './commands/explain.js';
 import type {GetOptions} from './commands/get.js';
@@ -90,6 +91,22 @@
 		await explain(options);
 	});
 
+examples(
+	program.command('audit'),
+	'audit --from 2026-03-01T00:00:00Z --to 2026-03-02T00:00:00Z --objects 10.0.9.1:7002',
+	'audit --from 2026-03-01 --to 2026-04-01 --customer okul-12 --objects 10.0.9.1:7002',
+)
+	.description('tell from the ledger which promises to callers were kept, without an instance')
+	.requiredOption('--from <time>', 'first time of admission')
+	.requiredOption('--to <time>', 'time of admission at which to stop')
+	.requiredOption('--objects <ip:port>', 'address of the object store')
+	.option('--customer <name>', 'only promises to this customer')
+	.option('--json', 'print JSON for scripts')
+	.action(async (options: AuditOptions) => {
+		const {audit} = await import('./commands/audit.js');
+		await audit(options);
+	});
+
 examples(program.command('stand-in <kind>'), 'stand-in engine --port 7101', 'stand-in table --port 7001')
 	.description('run a small stand-in of an outside system: engine, service, table, objects, instances, weights')
 	.option('--host <ip>', 'IP number to listen on', '127.0.0.1')
--- a/src/entry/callers.ts
+++ b/src/entry/callers.ts
@@ -11,7 +11,10 @@
 import {ulid} from 'ulid';
 import type {Configuration, Customer, RequestClass} from '../configuration/model.js';
 import {CarobquayError, toCarobquayError} from '../errors/errors.js';
-import {RequestLife, type RequestState, type RequestTerms} from '../request/life.js';
+import type {RequestObserver} from '../ledger/observer.js';
+import {
+	RequestLife, type RequestOutcome, type RequestState, type RequestTerms,
+} from '../request/life.js';
 import type {PromptReader} from '../request/prompt-reader.js';
 import type {PromptSummary} from '../request/prompt.js';
 import type {PromptRunner} from '../request/prompt-runner.js';
@@ -44,6 +47,8 @@
 	limits: BodyLimits;
 	log: EventLog;
 	metrics: RequestMetrics;
+	/** Told of what is promised and how it ends. */
+	observer: RequestObserver;
 };
 
 /** Environment of the callers' routes. */
@@ -230,6 +235,9 @@
 		};
 		return new RequestLife(terms, (from, to) => {
 			this.#logTransition(terms, from, to);
+			if (to === 'admitted') {
+				this.#options.observer.admitted(terms, requestClass.deferred);
+			}
 		});
 	}
 
@@ -270,6 +278,9 @@
 		this.#options.metrics.ended({
 			customer, requestClass, code: failure?.code ?? '0', milliseconds,
 		});
+		this.#options.observer.ended(life.terms, {
+			outcome: outcomeOf(failure), code: failure?.code, ran: failure === undefined ? 'yes' : failure.ran, attempts: life.attempt,
+		});
 		this.#options.log.info('request.ended', {
 			request: arrival.requestId,
 			customer,
@@ -292,6 +303,14 @@
 	}
 }
 
+function outcomeOf(failure: CarobquayError | undefined): RequestOutcome {
+	if (failure === undefined) {
+		return 'answered';
+	}
+
+	return failure.code === '4009' ? 'caller-left' : 'failed';
+}
+
 function sendError(outgoing: ServerResponse, error: CarobquayError, requestId: string): void {
 	if (outgoing.headersSent || outgoing.destroyed) {
 		outgoing.destroy();
--- a/src/entry/instance.ts
+++ b/src/entry/instance.ts
@@ -8,6 +8,7 @@
 import {collectDefaultMetrics, Registry} from 'prom-client';
 import {ConfigurationStore, type AcceptedConfiguration} from '../configuration/store.js';
 import {CarobquayError} from '../errors/errors.js';
+import {LedgerTask} from '../ledger/ledger-task.js';
 import type {Platform} from '../platform/platform.js';
 import {Dispatcher} from '../request/dispatcher.js';
 import {PromptReader} from '../request/prompt-reader.js';
@@ -39,6 +40,9 @@
 /** Addresses that an instance serves, as "IP:port". */
 export type InstanceAddresses = {callers: string; operators: string};
 
+/** Longest time in milliseconds that a graceful shutdown waits for the object store to take the rest of the ledger. */
+const ledgerCloseLimit = 30_000;
+
 /** An entry instance between callers and upstreams. It keeps nothing that must outlive it. */
 export class EntryInstance {
 	readonly #settings: ResolvedSettings;
@@ -52,6 +56,7 @@
 	readonly #dispatcher: Dispatcher;
 	readonly #directory: UpstreamDirectory;
 	readonly #store: ConfigurationStore;
+	readonly #ledger: LedgerTask;
 	readonly #callers: HttpListener;
 	readonly #operators: HttpListener;
 	#inForce: InForce | undefined;
@@ -73,6 +78,9 @@
 				this.#enforce(accepted);
 			},
 		});
+		this.#ledger = new LedgerTask({
+			instance: settings.instance.name, incarnation: this.#incarnation, objects: platform.objects, log: this.#log, ...settings.ledger,
+		});
 		this.#callers = new HttpListener(this.#createCallers(metrics).fetch);
 		this.#operators = new HttpListener(operatorsApplication({
 			keyHash: settings.operators.keyHash,
@@ -111,6 +119,7 @@
 		const {callers, operators} = this.#settings;
 		const operatorsAddress = await this.#operators.listen(operators.host, operators.port);
 		await Promise.all([this.#store.start(), this.#directory.start()]);
+		this.#ledger.start();
 		const callersAddress = await this.#callers.listen(callers.host, callers.port);
 		this.#log.info('instance.started', {callers: callersAddress, operators: operatorsAddress, incarnation: this.#incarnation});
 		return {callers: callersAddress, operators: operatorsAddress};
@@ -130,6 +139,7 @@
 		const ended = await Promise.race([this.#gate.close().then(() => true), timeUp]);
 		clearTimeout(timer);
 		await this.stop();
+		await this.#ledger.close(ledgerCloseLimit);
 		this.#log.info('instance.stopped', {ended});
 		return ended;
 	}
@@ -137,6 +147,7 @@
 	/** Stops at once, cutting what is in flight. */
 	async stop(): Promise<void> {
 		this.#store.stop();
+		this.#ledger.stop();
 		const closed = Promise.all([this.#callers.close(), this.#operators.close()]);
 		this.#callers.destroy();
 		this.#operators.destroy();
@@ -206,6 +217,7 @@
 			limits: {size: limits.body, silence: limits.callerSilence, memory: this.#memory},
 			log: this.#log,
 			metrics,
+			observer: this.#ledger,
 		});
 	}
 
--- /dev/null
+++ b/src/ledger/ledger-task.ts
@@ -0,0 +1,242 @@
+/**
+ * Task that writes the promises of this instance and their endings to the ledger.
+ *
+ * One segment is under way at a time; records that come meanwhile wait in a bounded buffer.
+ *
+ * @module
+ */
+import {performance} from 'node:perf_hooks';
+import {errorMessage} from '../errors/errors.js';
+import {sleep} from '../platform/backoff.js';
+import type {ObjectStore} from '../platform/object-store.js';
+import type {RequestTerms} from '../request/life.js';
+import type {EventLog} from '../telemetry/log.js';
+import type {ObservedEnding, RequestObserver} from './observer.js';
+import {PendingRecords, type NumberedRecord} from './pending-records.js';
+import type {RequestPromise, RequestRecord} from './record.js';
+import {
+	dayOf, firstPosition, positionAfter, sealSegment, type ChainPosition, type Segment,
+} from './segment.js';
+import {SegmentStore} from './segment-store.js';
+import {TailSender} from './tail-sender.js';
+import type {TailKeeper} from './tail.js';
+
+/** Time in milliseconds between two attempts to write the last segment at shutdown. */
+const closeRetryInterval = 250;
+
+export type LedgerTaskOptions = {
+	instance: string;
+	/** Unique for each start of the instance. */
+	incarnation: string;
+	objects: ObjectStore;
+	log: EventLog;
+	/** Records that make a segment full. */
+	batchSize: number;
+	/** Longest time in milliseconds that a record waits for its segment to fill. */
+	batchTime: number;
+	/** Greatest number of records held while the object store takes none. */
+	buffer: number;
+	/**
+	 * Holds the unwritten tail elsewhere.
+	 * @default undefined: a dying instance loses what it has not written
+	 */
+	tailKeeper?: TailKeeper;
+	/**
+	 * Time in milliseconds between two messages to the keeper.
+	 * @default 50
+	 */
+	tailInterval?: number;
+};
+
+type OpenPromise = {promise: RequestPromise; admittedAt: number};
+type SealedBatch = {segment: Segment; numbered: readonly NumberedRecord[]};
+
+/** Writes the ledger of one incarnation. */
+export class LedgerTask implements RequestObserver {
+	readonly #options: LedgerTaskOptions;
+	readonly #segments: SegmentStore;
+	readonly #pending: PendingRecords;
+	readonly #tail: TailSender | undefined;
+	readonly #open = new Map<string, OpenPromise>();
+	#position: ChainPosition;
+	#sealed: SealedBatch | undefined;
+	#writing: Promise<void> | undefined;
+	#writtenThrough = 0;
+	#chains = 1;
+	#overflowing = false;
+	/** Whether the last segment was not taken; the next attempt then waits for the timer. */
+	#failing = false;
+	/** Whether the records that wait are to be written though they do not fill a segment. */
+	#isDue = false;
+	#closing = false;
+	#closed = false;
+	#timer: NodeJS.Timeout | undefined;
+
+	constructor(options: LedgerTaskOptions) {
+		this.#options = options;
+		this.#segments = new SegmentStore(options.objects);
+		this.#pending = new PendingRecords(options.buffer);
+		this.#position = firstPosition(options.instance, options.incarnation);
+		this.#tail = options.tailKeeper && new TailSender({
+			keeper: options.tailKeeper, interval: options.tailInterval, log: options.log, current: () => this.#currentTail(),
+		});
+	}
+
+	/** Begins to write from time to time. */
+	start(): void {
+		this.#timer = setInterval(() => {
+			this.#isDue = true;
+			this.#startWriting();
+		}, this.#options.batchTime);
+		this.#tail?.start();
+	}
+
+	/** Stops at once; what is not written is left to the keeper of the tail. */
+	stop(): void {
+		clearInterval(this.#timer);
+		this.#tail?.stop();
+	}
+
+	admitted(terms: RequestTerms, deferred: boolean): void {
+		const now = Date.now();
+		const promise: RequestPromise = {
+			requestId: terms.requestId,
+			customer: terms.customer,
+			requestClass: terms.requestClass,
+			deadline: Math.round(now + terms.deadlineAt - performance.now()),
+			nonIdempotent: terms.nonIdempotent,
+			deferred,
+			admittedAt: now,
+		};
+		this.#open.set(terms.requestId, {promise, admittedAt: performance.now()});
+		this.#add({kind: 'admitted', promise});
+	}
+
+	ended({requestId}: RequestTerms, ending: ObservedEnding): void {
+		const open = this.#open.get(requestId);
+		if (open === undefined) {
+			return;
+		}
+
+		this.#open.delete(requestId);
+		// The monotonic clock keeps the ending comparable to the deadline when the wall clock is set.
+		const endedAt = Math.round(open.promise.admittedAt + performance.now() - open.admittedAt);
+		this.#add({kind: 'ended', promise: open.promise, ending: {...ending, endedAt}});
+	}
+
+	/**
+	 * Writes what is left and closes the chain.
+	 *
+	 * @param limit - Longest time in milliseconds to try while the object store is down.
+	 * @returns whether everything is written.
+	 */
+	async close(limit: number): Promise<boolean> {
+		clearInterval(this.#timer);
+		this.#closing = true;
+		const giveUpAt = performance.now() + limit;
+		for (;;) {
+			await this.#writing; // eslint-disable-line no-await-in-loop
+			if (await this.#writeAll()) { // eslint-disable-line no-await-in-loop
+				await this.#tail?.close(); // eslint-disable-line no-await-in-loop
+				return true;
+			}
+
+			if (performance.now() + closeRetryInterval > giveUpAt) {
+				this.stop();
+				this.#options.log.error('ledger.not-closed', {records: this.#pending.size + (this.#sealed?.segment.records.length ?? 0)});
+				return false;
+			}
+
+			await sleep(closeRetryInterval); // eslint-disable-line no-await-in-loop
+		}
+	}
+
+	#add(record: RequestRecord): void {
+		const added = this.#pending.add(record);
+		if (!added && !this.#overflowing) {
+			this.#options.log.error('ledger.overflow', {buffer: this.#options.buffer});
+		}
+
+		this.#overflowing = !added;
+		if (this.#pending.size >= this.#options.batchSize && !this.#failing) {
+			this.#startWriting();
+		}
+	}
+
+	#startWriting(): void {
+		if (!this.#closing) {
+			this.#writing ??= this.#writeInTurn();
+		}
+	}
+
+	async #writeInTurn(): Promise<void> {
+		this.#failing = !await this.#writeAll();
+		this.#writing = undefined;
+	}
+
+	/** Writes until nothing is full or due. Returns false where the store did not take a segment. */
+	async #writeAll(): Promise<boolean> {
+		try {
+			while (this.#sealed !== undefined || this.#hasToSeal) {
+				this.#sealed ??= this.#seal();
+				await this.#writeSealed(this.#sealed); // eslint-disable-line no-await-in-loop
+			}
+
+			return true;
+		} catch (error) {
+			this.#options.log.warn('ledger.segment-not-written', {
+				key: this.#sealed?.segment.key, waiting: this.#pending.size, reason: errorMessage(error),
+			});
+			return false;
+		}
+	}
+
+	get #hasToSeal(): boolean {
+		if (this.#closing) {
+			return !this.#closed;
+		}
+
+		// A chain moves to the new day even when it is quiet, so that its next segment is found there.
+		const isNewDay = this.#position.sequence > 0 && this.#position.day !== dayOf(Date.now());
+		return this.#pending.size >= this.#options.batchSize || (this.#isDue && (this.#pending.size > 0 || isNewDay));
+	}
+
+	#seal(): SealedBatch {
+		const {records, numbered} = this.#pending.take(this.#options.batchSize);
+		this.#isDue &&= this.#pending.size > 0;
+		const closes = this.#closing && this.#pending.size === 0;
+		return {segment: sealSegment(this.#position, records, closes ? this.#options.instance : undefined), numbered};
+	}
+
+	async #writeSealed({segment, numbered}: SealedBatch): Promise<void> {
+		const put = await this.#segments.put(segment);
+		if (put.state === 'present') {
+			this.#beginNewChain({segment, numbered});
+			return;
+		}
+
+		this.#sealed = undefined;
+		this.#closed = segment.closedBy !== undefined;
+		this.#position = positionAfter(segment);
+		this.#writtenThrough = numbered.at(-1)?.number ?? this.#writtenThrough;
+		this.#options.log.debug('ledger.segment-written', {key: segment.key, records: segment.records.length});
+	}
+
+	/** A peer that took this instance for dead has closed its chain: what it may lack goes to a chain of its own. */
+	#beginNewChain({segment, numbered}: SealedBatch): void {
+		const {instance, incarnation, log} = this.#options;
+		this.#chains += 1;
+		this.#position = firstPosition(instance, `${incarnation}.${this.#chains}`);
+		this.#sealed = {segment: sealSegment(this.#position, segment.records, segment.closedBy), numbered};
+		log.warn('ledger.chain-superseded', {key: segment.key, chain: this.#position.incarnation});
+	}
+
+	#currentTail() {
+		return {
+			incarnation: this.#options.incarnation,
+			position: this.#sealed?.segment.position ?? this.#position,
+			writtenThrough: this.#writtenThrough,
+			records: [...this.#sealed?.numbered ?? [], ...this.#pending.values()],
+		};
+	}
+}
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -109,6 +109,11 @@
 	configuration: {
 		poll_interval: setting(duration, {defaultText: '5 s', example: '5 s', description: 'Time between looks at the table service for a newer configuration.'}),
 	},
+	ledger: {
+		batch_size: setting(wholeNumber(1, 10_000), {defaultText: '500', example: '500', description: 'Records of promises that make one segment of the ledger full.'}),
+		batch_time: setting(duration, {defaultText: '1 s', example: '1 s', description: 'Longest time that a record waits for its segment to fill; also what a dying instance can lose of the ledger where no peer holds its tail.'}),
+		buffer: setting(wholeNumber(1, 1_000_000), {defaultText: '50000', example: '50000', description: 'Most records held while the object store takes none; more are counted as lost.'}),
+	},
 	log: {
 		level: setting(z.enum(['debug', 'info', 'warn', 'error'], 'expected debug, info, warn or error'), {defaultText: 'info', example: 'info', description: 'Least level of the log lines written.'}),
 		decisions: setting(flag, {defaultText: 'true', example: 'true', description: 'Whether each routing decision is written as a line.'}),
