--- a/src/entry/instance.ts
+++ b/src/entry/instance.ts
@@ -12,6 +12,7 @@
 import {ConfigurationStore, type AcceptedConfiguration} from '../configuration/store.js';
 import {CarobquayError} from '../errors/errors.js';
 import {GroupCommit} from '../platform/group-commit.js';
+import {LedgerTask} from '../ledger/ledger-task.js';
 import type {Platform} from '../platform/platform.js';
 import {SettledWriter} from '../platform/settled-write.js';
 import {FleetPart} from '../fleet/fleet-part.js';
@@ -49,6 +50,9 @@
 /** Addresses that an instance serves, as "IP:port". */
 export type InstanceAddresses = {callers: string; operators: string};
 
+/** Longest time in milliseconds that a graceful shutdown waits for the object store to take the rest of the ledger. */
+const ledgerCloseLimit = 30_000;
+
 /** An entry instance between callers and upstreams. It keeps nothing that must outlive it. */
 export class EntryInstance {
 	readonly #settings: ResolvedSettings;
@@ -65,6 +69,7 @@
 	readonly #claims: ClaimStore;
 	readonly #owners = new ListedOwners();
 	readonly #reaper: OrphanReaper;
+	readonly #ledger: LedgerTask;
 	readonly #callers: HttpListener;
 	readonly #operators: HttpListener;
 	readonly #fleet: FleetPart | undefined;
@@ -92,6 +97,9 @@
 			engines: () => this.#directory.engines, isOwnerDead: owner => this.#owners.isDead(owner, performance.now()), log: this.#log,
 		});
 		this.#claims = new ClaimStore({table: platform.table, committer: new GroupCommit(new SettledWriter(platform.table)), log: this.#log});
+		this.#ledger = new LedgerTask({
+			instance: settings.instance.name, incarnation: this.#incarnation, objects: platform.objects, log: this.#log, ...settings.ledger,
+		});
 		this.#callers = new HttpListener(this.#createCallers(metrics, platform).fetch);
 		this.#operators = new HttpListener(operatorsApplication({
 			keyHash: settings.operators.keyHash,
@@ -133,6 +141,7 @@
 		await this.#fleet?.start();
 		await Promise.all([this.#store.start(), this.#directory.start()]);
 		this.#reaper.start();
+		this.#ledger.start();
 		const callersAddress = await this.#callers.listen(callers.host, callers.port);
 		this.#log.info('instance.started', {callers: callersAddress, operators: operatorsAddress, incarnation: this.#incarnation});
 		return {callers: callersAddress, operators: operatorsAddress};
@@ -153,6 +162,7 @@
 		const ended = await Promise.race([this.#endAll().then(() => true), timeUp]);
 		clearTimeout(timer);
 		await this.stop();
+		await this.#ledger.close(ledgerCloseLimit);
 		this.#log.info('instance.stopped', {ended});
 		return ended;
 	}
@@ -162,6 +172,7 @@
 		this.#reaper.stop();
 		this.#fleet?.stop();
 		this.#store.stop();
+		this.#ledger.stop();
 		const closed = Promise.all([this.#callers.close(), this.#operators.close()]);
 		this.#callers.destroy();
 		this.#operators.destroy();
@@ -252,6 +263,7 @@
 			limits: {size: limits.body, silence: limits.callerSilence, memory: this.#memory},
 			log: this.#log,
 			metrics,
+			observer: this.#ledger,
 		});
 	}
 
--- a/src/upstream/__tests__/engine-subjects.ts
+++ b/src/upstream/__tests__/engine-subjects.ts
@@ -14,7 +14,7 @@
 import {MemoryEngine} from '../memory-engine.js';
 
 /** Time in milliseconds after which a call of these tests counts as silent. */
-export const silenceLimit = 300;
+export const silenceLimit = 600;
 
 /** An engine under test, reached in one of two ways. */
 export type Subject = {client: EngineClient & Pick<HttpEngine, 'dropped'>; faults: Faults; restart: () => Promise<void>; close: () => Promise<void>};
