test(upstream): freeze and slow engines for longer than the longer silence limit

Cause: the silence limit of the engine contract went from 300 to 600 ms, and two faults of 500 ms then fell below it. Change: both last 1000 ms, in the same proportion as before. Ruled out: going back to 300 ms, which a busy machine passes.

--- a/src/upstream/__tests__/engine-contract.test.ts
+++ b/src/upstream/__tests__/engine-contract.test.ts
@@ -201,10 +201,10 @@
 		name: 'losing the answer', order: {loseAnswers: 1}, code: '4003', ran: 'unknown', started: 1,
 	},
 	{
-		name: 'frozen for longer than the silence limit', order: {freeze: 500}, code: '4004', ran: 'unknown', started: 0,
+		name: 'frozen for longer than the silence limit', order: {freeze: 1000}, code: '4004', ran: 'unknown', started: 0,
 	},
 	{
-		name: 'slower than the silence limit', order: {slow: 500}, code: '4004', ran: 'unknown', started: 0,
+		name: 'slower than the silence limit', order: {slow: 1000}, code: '4004', ran: 'unknown', started: 0,
 	},
 	{
 		name: 'asked for an unknown model', request: prompt({model: 'other'}), code: '4005', ran: 'no', started: 0,
