--- a/src/routing/engine-choice.ts
+++ b/src/routing/engine-choice.ts
@@ -38,12 +38,6 @@
 /** Delay in milliseconds that each stream at an engine adds to a step. */
 const streamDelay = 2;
 
-/**
- * Expected loss in milliseconds of each stream at an engine that finishes a prefill before it decodes on, for a prompt
- * that is not short.
- */
-const interruptedStreamDelay = 60;
-
 /** Additional latency in milliseconds to another failure domain, there and back. */
 const otherDomainDelay = 3;
 
@@ -133,7 +127,7 @@
 		const free = view.freeTokens(now);
 		const fits = free === undefined || free >= prompt.totalTokens - cachedTokens;
 		const score = wait + prefillTime
-			+ (view.streams(now) * (streamDelay + (prompt.tier === 'short' ? 0 : interruptedStreamDelay * pool.rate.blocking)))
+			+ (view.streams(now) * streamDelay)
 			+ (fits ? 0 : fullMemoryPenalty)
 			+ this.#rangePenalty(pool, view, prompt.tier, now)
 			+ (this.#options.domainOf(view.name) === this.#options.failureDomain ? 0 : otherDomainDelay)
