fix(customer): keep rounding from marking satisfied customers as over their share

Cause: with all demand served, the fair level fell a rounding error below the largest customer's rate, which was then refused as over its share. Long prompts borrowed engines of medium ones on which streams were decoding. Change: a tolerance of 1% in the fair level; on engines that do not interleave, a long prompt leaves borrowed engines with more than three streams alone.

--- a/src/customer/fair-share.ts
+++ b/src/customer/fair-share.ts
@@ -11,6 +11,9 @@
 /** Time in milliseconds for which a computed level is used. */
 const levelLifetime = 500;
 
+/** Factor that keeps rounding from putting a customer over its share that got all it asked for. */
+const tolerance = 1.01;
+
 type CustomerWork = {weight: number; asked: DecayingRate; served: DecayingRate};
 
 /** Work asked for and served of one customer, per second. */
@@ -76,7 +79,7 @@
 	let weight = customers.reduce((sum, customer) => sum + customer.weight, 0);
 	for (const customer of customers.toSorted((left, right) => (left.asked / left.weight) - (right.asked / right.weight))) {
 		const level = capacity / weight;
-		if (customer.asked / customer.weight >= level) {
+		if (customer.asked / customer.weight > level * tolerance) {
 			return level;
 		}
 
--- a/src/routing/long-router.ts
+++ b/src/routing/long-router.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type {FairShare} from '../customer/fair-share.js';
+import type {LoadView} from '../upstream/load-view.js';
 import {
 	type Assessed, assessPrompt, placedEngine, reasonOf, refuse, sendDecision, sendPrompt,
 } from './assessment.js';
@@ -28,6 +29,12 @@
 /** Time in milliseconds for which an engine that refused a reservation is not asked again. */
 const refusedReservationPause = 500;
 
+/** Time in milliseconds for which a prefill may stop streams at an engine that is not kept for long prompts. */
+const bearableInterruption = 8000;
+
+/** Streams at such an engine that are not counted, since its report is late. */
+const interruptibleStreams = 3;
+
 /** Factor by which the expected wait of a long prompt is taken longer to be sure of its deadline. */
 const waitMargin = 1.3;
 
@@ -206,7 +213,7 @@
 		}
 
 		const scored = this.#choice.longCandidates(pool, assessed.prompt, now)
-			.filter(({view, wait, fits}) => fits && wait <= bindingWait && (this.#pausedUntil.get(view.name) ?? 0) <= now);
+			.filter(({view, wait, fits, prefillTime}) => fits && wait <= bindingWait && !this.#wouldInterrupt(pool, view, prefillTime, now) && (this.#pausedUntil.get(view.name) ?? 0) <= now);
 		const best = scored[0];
 		if (!best) {
 			return undefined;
@@ -220,6 +227,12 @@
 		return {...decision, reserve: true};
 	}
 
+	/** Whether a prompt would stop the streams of a borrowed engine for longer than they can bear. */
+	#wouldInterrupt(pool: EnginePool, view: LoadView, prefillTime: number, now: number): boolean {
+		const isBorrowed = pool.position(view.name)! >= pool.range('long', now).end;
+		return isBorrowed && prefillTime * pool.rate.blocking > bearableInterruption && view.streams(now) > interruptibleStreams;
+	}
+
 	#waitDecision({pool, promptTokens}: Pick<QueuedRequest, 'pool' | 'promptTokens'>, reason: WaitReason, now: number): WaitDecision {
 		return {
 			kind: 'wait', tier: 'long', reason, until: this.nextCheck(now, pool) ?? now + longestRecheck, promptTokens,
