--- a/src/routing/engine-choice.ts
+++ b/src/routing/engine-choice.ts
@@ -20,6 +20,9 @@
 /** Engines sampled from those kept for short prompts, for a medium one that would wait long elsewhere. */
 const shorterRangeSample = 1;
 
+/** Factor of a penalty where the engine is at work and would go on without serving its streams. */
+const occupiedFactor = 10;
+
 /** Share of the engines kept for short prompts that a medium one may take. */
 const sharedShare = 0.25;
 
@@ -129,7 +132,7 @@
 		const score = wait + prefillTime
 			+ (view.streams(now) * streamDelay)
 			+ (fits ? 0 : fullMemoryPenalty)
-			+ this.#rangePenalty(pool, view, prompt.tier, now)
+			+ (this.#rangePenalty(pool, view, prompt.tier, now) * (wait > 0 ? 1 + (occupiedFactor * pool.rate.blocking) : 1))
 			+ (this.#options.domainOf(view.name) === this.#options.failureDomain ? 0 : otherDomainDelay)
 			+ (this.#options.isSuspect(view.name, now) ? suspectPenalty : 0);
 		return {
