--- a/src/claim/kept-answers.ts
+++ b/src/claim/kept-answers.ts
@@ -12,7 +12,7 @@
 import type {AnswerPlace, ClaimRecord} from './claim.js';
 
 /** Longest answer in characters that is kept in the table. */
-const maximumInlineLength = 8192;
+const maximumInlineLength = 4096;
 
 const keptAnswerShape = z.discriminatedUnion('kind', [
 	z.object({
--- a/src/request/prompt-runner.ts
+++ b/src/request/prompt-runner.ts
@@ -11,7 +11,7 @@
 import {DeliveredText} from './delivered-text.js';
 import type {Dispatch, Dispatcher} from './dispatcher.js';
 import type {RequestLife} from './life.js';
-import type {RetryPolicy} from './retry-policy.js';
+import {type RetryPolicy, withRan} from './retry-policy.js';
 import type {SendPermit} from './send-permit.js';
 import {pause, TimeLimit} from './time-limit.js';
 
@@ -73,6 +73,8 @@
 		const run = new PromptRun(this.#options, request, sink, signal);
 		try {
 			await run.run();
+		} catch (error) {
+			throw withRan(toCarobquayError(error, request.life.ran), request.life);
 		} finally {
 			request.life.end();
 		}
@@ -183,7 +185,7 @@
 				return;
 			} catch (error) {
 				if (!this.#mayResume(error, resumes)) {
-					throw error;
+					throw resumes > 0 ? resumeError(error, engine.name) : error;
 				}
 
 				// eslint-disable-next-line no-await-in-loop
@@ -301,3 +303,11 @@
 		this.#options.dispatcher.observe(observation);
 	}
 }
+
+/** A resume that was refused or never reached the engine does not mean that the stream did not run. */
+function resumeError(error: unknown, upstream: string): CarobquayError {
+	const failure = toCarobquayError(error, 'unknown');
+	return failure.ran === 'no'
+		? new CarobquayError('4003', {message: `the stream at engine "${upstream}" could not be resumed: ${failure.message}`, ran: 'yes', cause: failure})
+		: failure;
+}
--- a/src/request/retry-policy.ts
+++ b/src/request/retry-policy.ts
@@ -113,6 +113,11 @@
 
 /** An error with the truth about whether the request ran in any of its attempts. */
 export function withRan(error: CarobquayError, life: RequestLife): CarobquayError {
+	// These speak of another request with the same idempotency key.
+	if (error.code === '4007' || error.code === '4008') {
+		return error;
+	}
+
 	return new CarobquayError(error.code, {
 		message: error.message, ran: life.ran, retryAfter: error.retryAfter, cause: error,
 	});
--- a/src/request/service-runner.ts
+++ b/src/request/service-runner.ts
@@ -9,7 +9,7 @@
 import type {ServiceAnswer, ServiceClient, ServiceRequest} from '../upstream/service.js';
 import type {Dispatcher} from './dispatcher.js';
 import type {RequestLife} from './life.js';
-import type {RetryPolicy} from './retry-policy.js';
+import {type RetryPolicy, withRan} from './retry-policy.js';
 import type {SendPermit} from './send-permit.js';
 
 /** What the runner works with. */
@@ -48,6 +48,8 @@
 	async run(request: ServiceCall, signal: AbortSignal): Promise<ServiceAnswer> {
 		try {
 			return await this.#attempts(request, signal);
+		} catch (error) {
+			throw withRan(toCarobquayError(error, request.life.ran), request.life);
 		} finally {
 			request.life.end();
 		}
--- a/src/scenario/entry-process.ts
+++ b/src/scenario/entry-process.ts
@@ -52,6 +52,7 @@
 	readonly #owners = new ListedOwners();
 	readonly #reaper: OrphanReaper;
 	readonly #router: Router;
+	readonly #sentTo = new Map<string, string>();
 	readonly #dispatcher: Dispatcher;
 	readonly #directory: UpstreamDirectory;
 
@@ -64,7 +65,11 @@
 		this.#router.setConfiguration(configuration, performance.now());
 		this.#directory = this.#createDirectory(outside, guardList(outside.instances, guard), log);
 		this.#dispatcher = new Dispatcher({
-			source: this.#router, reserver: new EngineReserver(upstream => this.#directory.engine(upstream), owner),
+			source: this.#router, listener: (facts, decision) => {
+				if (decision.kind === 'send') {
+					this.#sentTo.set(facts.requestId, decision.upstream);
+				}
+			}, reserver: new EngineReserver(upstream => this.#directory.engine(upstream), owner),
 		});
 		this.#reaper = new OrphanReaper({engines: () => this.#directory.engines, isOwnerDead: owner => this.#owners.isDead(owner, performance.now()), log});
 		this.claims = new ClaimStore({table, committer: new GroupCommit(new SettledWriter(table)), log});
@@ -80,6 +85,11 @@
 		});
 	}
 
+	/** Upstream that the request was last sent to. */
+	upstreamOf(requestId: string): string | undefined {
+		return this.#sentTo.get(requestId);
+	}
+
 	async start(): Promise<void> {
 		await this.#directory.start();
 		this.#reaper.start();
--- a/src/scenario/simulated-fleet.ts
+++ b/src/scenario/simulated-fleet.ts
@@ -87,12 +87,17 @@
 		this.#listener = listener;
 	}
 
-	/** Sends a request to an instance. */
-	ask(entry: EntryProcess, question: Question): Asked {
+	/**
+	 * Sends a request to an instance.
+	 *
+	 * @param onCreated - Given the request before anything happens to it.
+	 */
+	ask(entry: EntryProcess, question: Question, onCreated: (asked: Asked) => void = () => undefined): Asked {
 		const asked = new Asked(question, entry, state => {
 			this.#listener?.({kind: 'state', requestId: question.requestId, state});
 		});
 		this.asked.push(asked);
+		onCreated(asked);
 		this.#listener?.({kind: 'state', requestId: question.requestId, state: 'received'});
 		void asked.run();
 		return asked;
