feat(scenario): scripted scenarios in Gherkin and the matrix's step of a connection in use

Cause: a fault injected at the state "sent" came before the connection existed, so that no cell showed a cut or silent connection of a call; operators had no way to read or write a course of failures. Change: step "under way" in the matrix; scenario files with their sentences, run by npm test and carobquay scenario FILE.

--- a/scripts/matrix/cell.ts
+++ b/scripts/matrix/cell.ts
@@ -30,6 +30,9 @@
 /** Time in milliseconds that a request asked before the one under test gets. */
 const preludeTime = 5000;
 
+/** Time in milliseconds after which the connection of a request that was sent is in use. */
+const connectTime = 5;
+
 /** Time in milliseconds after which a caller asks again. */
 const askAgainAfter = 2000;
 
@@ -121,17 +124,32 @@
 	}
 
 	#observe(moment: Moment): void {
+		if (moment.kind === 'state' && moment.requestId === 'subject' && moment.state === 'sent' && this.#step === 'under way') {
+			setTimeout(() => {
+				this.#inject();
+			}, connectTime);
+			return;
+		}
+
 		const reached = moment.kind === 'state'
 			? moment.requestId === 'subject' && this.#step === `state ${moment.state}`
 			: moment.entry === 'entry-1' && this.#step === `${moment.call} ${moment.moment}`;
-		if (reached && !this.#injected && this.#asked !== undefined) {
-			this.#injected = true;
-			this.#fault.inject({
-				fleet: this.#fleet, asked: this.#asked, upstream: this.#upstream(), askAgain: () => {
-					this.#ask('again', 1);
-				},
-			});
+		if (reached) {
+			this.#inject();
+		}
+	}
+
+	#inject(): void {
+		if (this.#injected || this.#asked === undefined) {
+			return;
 		}
+
+		this.#injected = true;
+		this.#fault.inject({
+			fleet: this.#fleet, asked: this.#asked, upstream: this.#upstream(), askAgain: () => {
+				this.#ask('again', 1);
+			},
+		});
 	}
 
 	/** The upstream that works on the request, or the first of its kind. */
--- a/scripts/matrix/flows.ts
+++ b/scripts/matrix/flows.ts
@@ -7,8 +7,11 @@
 import type {Question} from '../../src/scenario/caller.js';
 import type {StoreCall} from '../../src/scenario/guarded-clients.js';
 
-/** A step: a state that the request enters, or a store call of its instance before it leaves or after it was answered. */
-export type Step = `state ${RequestState}` | `${StoreCall} ${'before' | 'after'}`;
+/**
+ * A step: a state that the request enters, the time shortly after it was sent when its connection is in use, or a store
+ * call of its instance before it leaves or after it was answered.
+ */
+export type Step = 'under way' | `state ${RequestState}` | `${StoreCall} ${'before' | 'after'}`;
 
 /** One course. */
 export type Flow = {
@@ -43,7 +46,7 @@
 } as const satisfies Omit<Question, 'requestId'>;
 
 const claimSteps: readonly Step[] = [
-	'write-claim before', 'write-claim after', 'state claimed', 'state admitted', 'write-sent before', 'write-sent after', 'state sent', 'state streaming',
+	'write-claim before', 'write-claim after', 'state claimed', 'state admitted', 'write-sent before', 'write-sent after', 'state sent', 'under way', 'state streaming',
 ];
 
 const endSteps: readonly Step[] = ['state ended', 'write-ending before', 'write-ending after'];
@@ -59,28 +62,28 @@
 	{
 		name: 'call without a key',
 		question: {...call, idempotencyKey: undefined},
-		steps: ['state received', 'state admitted', 'state sent', 'state streaming', 'state ended'],
+		steps: ['state received', 'state admitted', 'state sent', 'under way', 'state streaming', 'state ended'],
 	},
 	{
 		name: 'call, idempotent',
 		question: {...call, idempotencyKey: undefined, nonIdempotent: false},
-		steps: ['state received', 'state admitted', 'state sent', 'state streaming', 'state ended'],
+		steps: ['state received', 'state admitted', 'state sent', 'under way', 'state streaming', 'state ended'],
 	},
 	{
 		name: 'prompt, streamed',
 		question: prompt,
-		steps: ['state received', 'state admitted', 'state sent', 'state streaming', 'state ended', 'read-list before', 'read-list after'],
+		steps: ['state received', 'state admitted', 'state sent', 'under way', 'state streaming', 'state ended', 'read-list before', 'read-list after'],
 	},
 	{
 		name: 'prompt, whole',
 		question: {...prompt, streams: false},
-		steps: ['state received', 'state admitted', 'state sent', 'state streaming', 'state ended'],
+		steps: ['state received', 'state admitted', 'state sent', 'under way', 'state streaming', 'state ended'],
 	},
 	{
 		name: 'prompt that waits',
 		question: {...prompt, text: longText, deadline: longDeadline},
 		before: 'busy-engines',
-		steps: ['state received', 'state waiting', 'state admitted', 'state sent', 'state streaming', 'state ended'],
+		steps: ['state received', 'state waiting', 'state admitted', 'state sent', 'under way', 'state streaming', 'state ended'],
 	},
 	{
 		name: 'prompt with a key',
@@ -101,6 +104,6 @@
 		name: 'claim read back',
 		question: call,
 		before: 'lost-claim-answer',
-		steps: ['settle-read before', 'settle-read after', 'read-claim before', 'read-claim after', 'write-sent before', 'state sent'],
+		steps: ['settle-read before', 'settle-read after', 'read-claim before', 'read-claim after', 'write-sent before', 'state sent', 'under way'],
 	},
 ];
--- a/src/cli.ts
+++ b/src/cli.ts
@@ -11,6 +11,7 @@
 import type {GetOptions} from './commands/get.js';
 import type {ServeOptions} from './commands/serve.js';
 import type {StartOptions} from './commands/start.js';
+import type {ScenarioOptions} from './commands/scenario.js';
 import type {StatusOptions} from './commands/status.js';
 import type {VersionOptions} from './commands/version.js';
 import type {StandInOptions} from './commands/stand-in.js';
@@ -105,6 +106,15 @@
 		await standIn(kind, options);
 	});
 
+examples(program.command('scenario <file>'), 'scenario playground/scenarios/paused-holder.feature')
+	.description('run a scenario file on a simulated fleet under a paused clock')
+	.option('--seed <number>', 'seed of all random choices', '1')
+	.option('--json', 'print JSON for scripts')
+	.action(async (file: string, options: ScenarioOptions) => {
+		const {scenario} = await import('./commands/scenario.js');
+		await scenario(file, options);
+	});
+
 examples(withOperator(program.command('status')), 'status', 'status --json | jq .upstreams')
 	.description('show the state of an instance')
 	.action(async (options: StatusOptions) => {
--- a/src/scenario/process-boundary.ts
+++ b/src/scenario/process-boundary.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import {setMaxListeners} from 'node:events';
 import {performance} from 'node:perf_hooks';
 import {sleep} from '../platform/backoff.js';
 
@@ -11,6 +12,11 @@
 	readonly #death = new AbortController();
 	#pausedUntil = 0;
 
+	constructor() {
+		// Every connection of the process listens.
+		setMaxListeners(0, this.#death.signal);
+	}
+
 	/** Aborts when the process dies; its connections break then. */
 	get death(): AbortSignal {
 		return this.#death.signal;
