--- a/src/fleet/__tests__/fleet.test.ts
+++ b/src/fleet/__tests__/fleet.test.ts
@@ -40,6 +40,9 @@
 				membersChanged() {
 					// What is believed is asked of the fleet.
 				},
+				listChanged() {
+					// The list is given by the test.
+				},
 				loadLearned: load => {
 					this.loads.push(load);
 				},
--- a/src/fleet/__tests__/frame.test.ts
+++ b/src/fleet/__tests__/frame.test.ts
@@ -61,6 +61,7 @@
 		}],
 	},
 	{kind: 'generation', generation: 3},
+	{kind: 'list-revision', revision: 8},
 	{kind: 'configuration-request', generation: 3},
 	{kind: 'configuration', generation: 3, document: Buffer.from('text')},
 ];
--- a/src/fleet/dialer.ts
+++ b/src/fleet/dialer.ts
@@ -16,7 +16,7 @@
 
 /** Hears how attempts end. */
 export interface DialerListener {
-	connected(socket: Socket): void;
+	connected(socket: Socket, name: string): void;
 	unreachable(name: string): void;
 }
 
@@ -54,7 +54,7 @@
 			this.#attempts.delete(name);
 			socket.setTimeout(0);
 			socket.removeAllListeners();
-			this.#listener.connected(socket);
+			this.#listener.connected(socket, name);
 		});
 		socket.once('timeout', () => {
 			socket.destroy(new Error('timeout'));
--- a/src/fleet/fleet-options.ts
+++ b/src/fleet/fleet-options.ts
@@ -17,6 +17,8 @@
 	membersChanged(live: readonly MemberClaim[]): void;
 	/** Called with each newer load that came from another instance. */
 	loadLearned(load: LoadDigest): void;
+	/** Called when another instance has read a newer revision of the instance list. */
+	listChanged(): void;
 }
 
 export type FleetOptions = {
--- a/src/fleet/fleet-part.ts
+++ b/src/fleet/fleet-part.ts
@@ -8,6 +8,7 @@
 import type {AcceptedConfiguration} from '../configuration/store.js';
 import {Fleet} from './fleet.js';
 import {defaultFanOut} from './fleet-options.js';
+import {loadAge} from './load-digest.js';
 import {WatcherSharing} from './load-sharing.js';
 import type {MemberClaim} from './messages.js';
 
@@ -38,7 +39,7 @@
 	router: InstanceCounter;
 	/** Asked late, since they are made after this part. */
 	store: () => ConfigurationHolder;
-	directory: () => Pick<UpstreamDirectory, 'learn' | 'reschedule'>;
+	directory: () => Pick<UpstreamDirectory, 'learn' | 'reschedule' | 'rescheduleList'>;
 	/**
 	 * Members that each instance dials.
 	 * @default 2
@@ -73,6 +74,9 @@
 					router.setInstances(live.length);
 					directory().reschedule();
 				},
+				listChanged() {
+					directory().rescheduleList();
+				},
 				loadLearned: digest => {
 					const learned = this.sharing.resolve(digest);
 					if (learned) {
@@ -93,6 +97,11 @@
 		return {links: this.#fleet.linkCount, bytes: this.#fleet.bytes};
 	}
 
+	/** Ages in milliseconds of the loads that are known by digests. */
+	get loadAges(): number[] {
+		return this.#fleet.loads.loads.map(({version}) => loadAge(version));
+	}
+
 	/** @returns the address on which other instances connect. */
 	async start(): Promise<string> {
 		const address = await this.#fleet.start();
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -34,6 +34,9 @@
 /** Delay in milliseconds in which urgent news are gathered into one message. */
 const urgentDelay = 20;
 
+/** Silence in milliseconds after which a link is left on which the other end has not said its name. */
+const handshakeBound = 1500;
+
 /** A tick later than this, in milliseconds, means that this process was paused. */
 const pauseBound = 2500;
 
@@ -56,6 +59,7 @@
 	#neighbours: readonly string[] = [];
 	#liveNames: readonly string[] = [];
 	#membersDirty = true;
+	#listRevision = 0;
 	#tickTimer: NodeJS.Timeout | undefined;
 	#urgentTimer: NodeJS.Timeout | undefined;
 	#tickedAt = performance.now();
@@ -65,8 +69,8 @@
 		this.#options = options;
 		this.#spread = new ConfigurationSpread(options.configuration);
 		this.#dialer = new Dialer({
-			connected: socket => {
-				this.#adopt(socket, 'dialer');
+			connected: (socket, name) => {
+				this.#adopt(socket, 'dialer', name);
 			},
 			unreachable: name => {
 				this.#apply(this.#membership!.suspect(name, performance.now()), undefined);
@@ -129,6 +133,11 @@
 		return this.#membership?.claims ?? [];
 	}
 
+	/** Whether any other instance is linked. */
+	get isJoined(): boolean {
+		return this.#links.open.length > 0;
+	}
+
 	/** Number of open links. */
 	get linkCount(): number {
 		return this.#links.open.length;
@@ -159,13 +168,28 @@
 		}
 	}
 
+	/** Newest revision of the instance list that any instance has told of. */
+	get listRevision(): number {
+		return this.#listRevision;
+	}
+
+	/** Tells the others of a revision of the instance list. */
+	announceListRevision(revision: number, from?: Link): void {
+		if (revision > this.#listRevision) {
+			this.#listRevision = revision;
+			for (const link of this.#links.others(from)) {
+				link.send({kind: 'list-revision', revision});
+			}
+		}
+	}
+
 	/** Tells the others of a generation that is in force here. */
 	announceGeneration(): void {
 		this.#spread.announce(this.#links.open);
 	}
 
 	opened(link: Link, peer: string): void {
-		this.#dropDuplicate(link, peer);
+		this.#links.surplus(link, this.#options.name)?.close('not needed');
 		this.#dialer.reached(peer);
 		for (const claim of this.#membership!.claims) {
 			link.enqueueClaim(claim);
@@ -190,6 +214,12 @@
 			.with({kind: 'loads'}, ({loads}) => {
 				this.#learnLoads(loads, link);
 			})
+			.with({kind: 'list-revision'}, ({revision}) => {
+				if (revision > this.#listRevision) {
+					this.announceListRevision(revision, link);
+					this.#options.listener.listChanged();
+				}
+			})
 			.with({kind: 'generation'}, {kind: 'configuration-request'}, {kind: 'configuration'}, about => {
 				this.#spread.received(link, about, this.#links.open);
 			})
@@ -199,6 +229,11 @@
 
 	closed(link: Link, reason: string): void {
 		this.#links.remove(link);
+		// A frozen process still accepts connections, but does not answer on them.
+		if (link.peer === undefined && link.dialed !== undefined && !this.#isStopped) {
+			this.#apply(this.#membership!.suspect(link.dialed, performance.now()), undefined);
+		}
+
 		if (this.#isStopped || link.peer === undefined || this.#links.to(link.peer) !== undefined || !this.#isWanted(link.peer)) {
 			return;
 		}
@@ -335,7 +370,7 @@
 
 	#checkLinks(): void {
 		for (const link of this.#links.all) {
-			if (link.silence > idleBound) {
+			if (link.silence > (link.peer === undefined ? handshakeBound : idleBound)) {
 				link.close('silent');
 				continue;
 			}
@@ -354,23 +389,11 @@
 		}
 	}
 
-	#adopt(socket: Socket, role: 'dialer' | 'listener'): void {
+	#adopt(socket: Socket, role: 'dialer' | 'listener', dialed?: string): void {
 		const {keys, name} = this.#options;
 		const {incarnation} = this.#membership!.self;
 		this.#links.add(new Link({
-			socket, role, keys, name, incarnation, listener: this,
+			socket, role, keys, name, incarnation, dialed, listener: this,
 		}));
 	}
-
-	/** Keeps one link for each peer: of two, the one dialed by the smaller name, unless it has gone silent. */
-	#dropDuplicate(link: Link, peer: string): void {
-		const other = this.#links.all.find(candidate => candidate !== link && candidate.peer === peer);
-		if (!other) {
-			return;
-		}
-
-		const kept = this.#options.name < peer ? 'dialer' : 'listener';
-		const isOtherKept = other.role !== link.role && other.role === kept && other.silence < 2 * heartbeatInterval;
-		(isOtherKept ? link : other).close('not needed');
-	}
 }
--- a/src/fleet/link-set.ts
+++ b/src/fleet/link-set.ts
@@ -5,6 +5,9 @@
  */
 import type {Link} from './link.js';
 
+/** Silence in milliseconds of a link that is given up for a new one. */
+const silenceBound = 2000;
+
 /** Links that are open or opening. */
 export class LinkSet {
 	readonly #links = new Set<Link>();
@@ -40,6 +43,22 @@
 		return this.all.find(({peer}) => peer === name);
 	}
 
+	/**
+	 * Of two links to one instance, the one to close: the one dialed by the smaller name stays, unless it is silent.
+	 *
+	 * @param own - Name of this instance.
+	 */
+	surplus(link: Link, own: string): Link | undefined {
+		const other = this.all.find(candidate => candidate !== link && candidate.peer === link.peer);
+		if (!other) {
+			return undefined;
+		}
+
+		const kept = own < link.peer! ? 'dialer' : 'listener';
+		const isOtherKept = other.role !== link.role && other.role === kept && other.silence < silenceBound;
+		return isOtherKept ? link : other;
+	}
+
 	/** Open links besides one. */
 	others(excluded: Link | undefined): Link[] {
 		return this.open.filter(link => link !== excluded);
--- a/src/fleet/link.ts
+++ b/src/fleet/link.ts
@@ -39,6 +39,11 @@
 	name: string;
 	incarnation: number;
 	listener: LinkListener;
+	/**
+	 * Name of the instance that was dialed.
+	 * @default any may answer
+	 */
+	dialed?: string;
 };
 
 /** One link and what waits to be sent on it. */
@@ -78,6 +83,11 @@
 		return this.#peer;
 	}
 
+	/** Name of the instance that was dialed; undefined where the other end dialed. */
+	get dialed(): string | undefined {
+		return this.#options.dialed;
+	}
+
 	/** Time in milliseconds since something arrived. */
 	get silence(): number {
 		return performance.now() - this.#receivedAt;
@@ -198,6 +208,11 @@
 			return;
 		}
 
+		if (this.dialed !== undefined && this.dialed !== message.name) {
+			this.close(`"${message.name}" answered in place of "${this.dialed}"`);
+			return;
+		}
+
 		this.#peer = message.name;
 		this.#options.listener.opened(this, message.name);
 	}
--- a/src/fleet/load-sharing.ts
+++ b/src/fleet/load-sharing.ts
@@ -5,26 +5,41 @@
  */
 import {performance} from 'node:perf_hooks';
 import type {ListedInstance} from '../platform/instance-list.js';
+import {hashText} from '../routing/seed.js';
 import type {LoadSharing, SharedLoad} from '../upstream/directory.js';
 import {
 	loadAge, loadDigestSize, type LoadDigest, loadVersion,
 } from './load-digest.js';
-import {hashText} from './rendezvous.js';
 
 /** Bytes in each second that an instance may spend on loads, sent and received. */
-const byteBudget = 2000;
+const byteBudget = 1500;
 
 /** Part of a load's figures by which it must have changed to be passed on. */
 const materialShare = 0.1;
 
 /** Time in milliseconds between two readings by an instance that is not the watcher, for each upstream listed. */
-const unwatchedIntervalPerUpstream = 1000;
+const unwatchedIntervalPerUpstream = 2000;
+
+/** Readings by a watcher in the time between two digests of one upstream. */
+const readingsPerDigest = 8;
+
+/** Time in milliseconds between two readings of the instance list, for each instance listed. */
+const listIntervalPerInstance = 150;
+
+/** Greatest delay in milliseconds of reading a list that has changed, for each instance listed and in all. */
+const listDelayPerInstance = 2;
+const maximumListDelay = 2000;
 
 /** The part of a fleet that sharing needs. */
 export interface LoadChannel {
+	/** Whether any other instance is linked. */
+	readonly isJoined: boolean;
+	/** Newest revision of the instance list that any instance has told of. */
+	readonly listRevision: number;
 	isWatcher(upstream: string): boolean;
 	publishLoad(load: LoadDigest): void;
 	setListed(instances: readonly ListedInstance[]): void;
+	announceListRevision(revision: number): void;
 }
 
 export type LoadSharingOptions = {
@@ -42,6 +57,8 @@
 	readonly #options: LoadSharingOptions;
 	readonly #published = new Map<string, {load: SharedLoad; at: number}>();
 	#names = new Map<number, string>();
+	#listSize = 0;
+	#listRevision = 0;
 
 	constructor(options: LoadSharingOptions) {
 		this.#options = options;
@@ -55,10 +72,14 @@
 
 	interval(upstream: string): number {
 		const {channel, loadInterval} = this.#options;
-		if (this.#isDirect || channel.isWatcher(upstream)) {
+		if (this.#isDirect) {
 			return loadInterval;
 		}
 
+		if (channel.isWatcher(upstream)) {
+			return Math.max(loadInterval, this.digestInterval / readingsPerDigest);
+		}
+
 		return Math.max(loadInterval, this.#names.size * unwatchedIntervalPerUpstream);
 	}
 
@@ -84,7 +105,18 @@
 		});
 	}
 
-	listed(instances: readonly ListedInstance[]): void {
+	listInterval(base: number): number {
+		if (this.#options.channel.listRevision > this.#listRevision) {
+			return Math.random() * Math.min(maximumListDelay, this.#listSize * listDelayPerInstance);
+		}
+
+		// Of many instances that read seldom, one soon reads a change and tells the others.
+		return this.#isDirect || !this.#options.channel.isJoined ? base : Math.max(base, this.#listSize * listIntervalPerInstance);
+	}
+
+	listed(instances: readonly ListedInstance[], revision: number): void {
+		this.#listSize = instances.length;
+		this.#listRevision = revision;
 		const names = instances.filter(({kind}) => kind !== 'entry').map(({name}) => name);
 		this.#names = new Map(names.map(name => [hashText(name), name]));
 		for (const name of this.#published.keys()) {
@@ -94,6 +126,7 @@
 		}
 
 		this.#options.channel.setListed(instances);
+		this.#options.channel.announceListRevision(revision);
 	}
 
 	/** Name and load that a digest stands for; undefined where the upstream is not listed. */
--- a/src/fleet/messages.ts
+++ b/src/fleet/messages.ts
@@ -44,12 +44,14 @@
 		| {kind: 'loads'; loads: LoadDigest[]}
 		/** The sender has this generation and gives the document on demand. */
 		| {kind: 'generation'; generation: number}
+		/** The sender has read this revision of the instance list. */
+		| {kind: 'list-revision'; revision: number}
 		| {kind: 'configuration-request'; generation: number}
 		/** The document, deflated. */
 		| {kind: 'configuration'; generation: number; document: Uint8Array};
 
 const codes = {
-	hello: 0, heartbeat: 1, members: 2, loads: 3, generation: 4, configurationRequest: 5, configuration: 6,
+	hello: 0, heartbeat: 1, members: 2, loads: 3, generation: 4, configurationRequest: 5, configuration: 6, listRevision: 7,
 } as const;
 
 const loadBytes = z.instanceof(Uint8Array).refine(bytes => bytes.length <= maximumRecords * loadDigestSize && bytes.length % loadDigestSize === 0);
@@ -60,6 +62,7 @@
 	z.tuple([z.literal(codes.members), z.array(memberClaim).max(maximumRecords)]).transform(([, claims]): PeerMessage => ({kind: 'members', claims})),
 	z.tuple([z.literal(codes.hello), name, version]).transform(([, sender, incarnation]): PeerMessage => ({kind: 'hello', name: sender, incarnation})),
 	z.tuple([z.literal(codes.generation), version]).transform(([, generation]): PeerMessage => ({kind: 'generation', generation})),
+	z.tuple([z.literal(codes.listRevision), version]).transform(([, revision]): PeerMessage => ({kind: 'list-revision', revision})),
 	z.tuple([z.literal(codes.configurationRequest), version]).transform(([, generation]): PeerMessage => ({kind: 'configuration-request', generation})),
 	z.tuple([z.literal(codes.configuration), version, z.instanceof(Uint8Array)]).transform(([, generation, document]): PeerMessage => (
 		{kind: 'configuration', generation, document})),
@@ -97,6 +100,10 @@
 			return [codes.generation, message.generation];
 		}
 
+		case 'list-revision': {
+			return [codes.listRevision, message.revision];
+		}
+
 		case 'configuration-request': {
 			return [codes.configurationRequest, message.generation];
 		}
--- a/src/fleet/rendezvous.ts
+++ b/src/fleet/rendezvous.ts
@@ -4,22 +4,7 @@
  * @module
  */
 
-/* eslint-disable no-bitwise */
-
-const offsetBasis = 0x81_1C_9D_C5;
-const prime = 0x01_00_01_93;
-
-/** A number of 32 bits made from a text (FNV-1a with a final mix). */
-export function hashText(text: string): number {
-	let hash = offsetBasis;
-	for (let index = 0; index < text.length; index++) {
-		hash = Math.imul(hash ^ text.codePointAt(index)!, prime);
-	}
-
-	hash = Math.imul(hash ^ (hash >>> 16), 0x85_EB_CA_6B);
-	hash = Math.imul(hash ^ (hash >>> 13), 0xC2_B2_AE_35);
-	return (hash ^ (hash >>> 16)) >>> 0;
-}
+import {hashText} from '../routing/seed.js';
 
 /** The names with the highest scores for a key, the highest first. Losing a name moves only the keys that it had. */
 export function rendezvous(key: string, names: readonly string[], count: number): string[] {
@@ -37,7 +22,7 @@
 export function chooseNeighbours(own: string, names: readonly string[], fanOut: number): string[] {
 	const others = names.filter(name => name !== own);
 	const place = hashText(own);
-	const distance = (name: string) => (hashText(name) - place) >>> 0;
+	const distance = (name: string) => (hashText(name) - place) >>> 0; // eslint-disable-line no-bitwise
 	const successor = others.toSorted((first, second) => distance(first) - distance(second))[0];
 	if (successor === undefined) {
 		return [];
--- a/src/upstream/directory.ts
+++ b/src/upstream/directory.ts
@@ -52,7 +52,9 @@
 	/** Takes a load that this instance has read. */
 	loadRead(upstream: string, load: SharedLoad): void;
 	/** Takes the instances of each reading of the list. */
-	listed(instances: readonly ListedInstance[]): void;
+	listed(instances: readonly ListedInstance[], revision: number): void;
+	/** Time in milliseconds until this instance should read the list again. */
+	listInterval(base: number): number;
 }
 
 /** What the directory works with. */
@@ -141,6 +143,13 @@
 		}
 	}
 
+	/** Plans the next reading of the list anew, after another instance has told of a change. */
+	rescheduleList(): void {
+		if (this.#timer !== undefined) {
+			this.#scheduleList();
+		}
+	}
+
 	/** Takes in a load that another instance has read. */
 	learn(upstream: string, load: SharedLoad): void {
 		const entry = this.#entries.get(upstream);
@@ -167,8 +176,8 @@
 
 	async #readList(): Promise<void> {
 		try {
-			const {instances} = await this.#options.instances.read();
-			this.#options.sharing?.listed(instances);
+			const {instances, revision} = await this.#options.instances.read();
+			this.#options.sharing?.listed(instances, revision);
 			this.#apply(instances);
 			this.#listFailed = false;
 		} catch (error) {
@@ -180,12 +189,19 @@
 		}
 
 		if (!this.#stopped) {
-			this.#timer = setTimeout(() => {
-				void this.#readList();
-			}, spread(this.#options.listInterval));
+			this.#scheduleList();
 		}
 	}
 
+	#scheduleList(): void {
+		const {listInterval, sharing} = this.#options;
+		clearTimeout(this.#timer);
+		this.#timer = setTimeout(() => {
+			this.#timer = undefined;
+			void this.#readList();
+		}, spread(sharing?.listInterval(listInterval) ?? listInterval));
+	}
+
 	#apply(instances: readonly ListedInstance[]): void {
 		let changed = false;
 		const listed = new Map(instances.filter(({kind}) => kind !== 'entry').map(instance => [instance.name, instance]));
