--- a/bench/entry/main.ts
+++ b/bench/entry/main.ts
@@ -27,6 +27,9 @@
 /** Blocks of an engine that holds more than a million tokens. */
 const engineBlocks = 40_000;
 
+/** Delay of the event loop in seconds, of which the sampling period of 10 ms is a part. */
+const eventLoopMetric = 'nodejs_eventloop_lag_p99_seconds';
+
 /** Factor on the engine's step times: the entry is measured, not the engine. */
 const timeScale = 0.001;
 
@@ -66,11 +69,16 @@
 	return {...latencies, largeBodies};
 }
 
+/** A figure from an entry's metrics. */
+async function metric(operators: string, name: string): Promise<number> {
+	const response = await request(`http://${operators}/metrics`);
+	const line = new RegExp(String.raw`^carobquay_${name} (\S+)`, 'mv').exec(await response.body.text());
+	return Number(line![1]);
+}
+
 /** Processor seconds that an entry has used. */
 async function processorSeconds(operators: string): Promise<number> {
-	const response = await request(`http://${operators}/metrics`);
-	const found = /^carobquay_process_cpu_seconds_total (\S+)/mv.exec(await response.body.text());
-	return Number(found![1]);
+	return metric(operators, 'process_cpu_seconds_total');
 }
 
 /** Requests per second of processor time of the entry, under as many requests as its connections carry. */
@@ -88,6 +96,10 @@
 	return {perCore: Math.round(sent / used), perSecond: Math.round(sent / seconds)};
 }
 
+function round(milliseconds: number): number {
+	return Math.round(milliseconds * 100) / 100;
+}
+
 async function measure(fleet: ProcessFleet, options: Options) {
 	const [entry] = fleet.entries;
 	const [engine] = fleet.engines;
@@ -99,7 +111,10 @@
 	};
 	await alternate(callers, warmUpRequests);
 	const alone = await alternate(callers, Number(options.requests));
+	// Reading the metric begins a new period.
+	const delayAlone = await metric(entry!.operators, eventLoopMetric);
 	const beside = await alternateBesideLarge(callers, Number(options.requests));
+	const delayBeside = await metric(entry!.operators, eventLoopMetric);
 	const rate = await throughput(callers, entry!.operators, Number(options.seconds));
 	await Promise.all(Object.values(callers).map(async caller => caller.close()));
 	return {
@@ -112,6 +127,8 @@
 		entry_p50_beside_large_ms: beside.entry.percentile(50),
 		entry_p99_beside_large_ms: beside.entry.percentile(99),
 		large_bodies: beside.largeBodies,
+		event_loop_p99_alone_ms: round(delayAlone * 1000),
+		event_loop_p99_beside_large_ms: round(delayBeside * 1000),
 		requests_per_second_per_core: rate.perCore,
 		requests_per_second: rate.perSecond,
 	};
