feat(deferred): durable acceptance, takeover and polling of deferred requests

Cause: a request that may wait died with the instance that held it. Change: prompts of a deferred class are stored (body in the object store, item in the table) before the 202; owners hold one lease item for each instance; running and ending are writes conditional on the item's version, so that an owner that was paused cannot end what another took on; a non-idempotent request that was begun is never run again; GET /v1/requests/ID fetches the answer, checked against its digest. The ledger is told of takeovers with the first time of admission. Ruled out: a lease in each request's item (a renewal for each request), the instance list (lags, and still lists a paused instance).

--- a/src/__tests__/support/processes.ts
+++ b/src/__tests__/support/processes.ts
@@ -99,6 +99,11 @@
 pools = tier=standard
 priority = 5
 deadline = 5 m
+[class bundle]
+pools = tier=standard
+priority = 5
+deadline = 5 m
+deferred = true
 [class citation]
 pools = tier=service
 deadline = 20 s
--- a/src/entry/callers.ts
+++ b/src/entry/callers.ts
@@ -25,6 +25,7 @@
 import type {KeyRing} from './authentication.js';
 import {receiveBody, type BodyLimits, type ReceivedBody} from './body.js';
 import {StreamedChatAnswer, WholeChatAnswer, type ChatAnswer} from './chat-answer.js';
+import type {DeferredCallers} from './deferred-callers.js';
 import {errorBody, errorHeaders} from './error-response.js';
 import {headerNames, readCallerOptions, type CallerOptions} from './headers.js';
 import {
@@ -49,6 +50,8 @@
 	metrics: RequestMetrics;
 	/** Told of what is promised and how it ends. */
 	observer: RequestObserver;
+	/** Takes the prompts of deferred classes. */
+	deferred: DeferredCallers;
 };
 
 /** Environment of the callers' routes. */
@@ -73,6 +76,7 @@
 	const handlers = new CallerHandlers(options);
 	application.post('/v1/chat/completions', async context => handlers.handle(context, async arrival => handlers.chat(arrival)));
 	application.get('/v1/models', async context => handlers.handle(context, async arrival => handlers.models(arrival)));
+	application.get('/v1/requests/:id', async context => handlers.handle(context, async arrival => handlers.fetchDeferred(arrival, context)));
 	application.all('/v1/services/:pool/*', async context => handlers.handle(context, async arrival => handlers.service(arrival, context)));
 	application.notFound(context => {
 		const error = new CarobquayError('1008', {message: `no route ${context.req.method} ${context.req.path} on the callers' port`});
@@ -121,6 +125,11 @@
 		const {body, summary} = await this.#receivePrompt(arrival);
 		try {
 			this.#checkModel(arrival, summary.model);
+			if (requestClass.deferred) {
+				await this.#defer(arrival, requestClass, body);
+				return;
+			}
+
 			const life = this.#begin(arrival, requestClass);
 			const answer = chatAnswer(arrival, summary, this.#options.limits.silence);
 			await this.#runToEnd({arrival, life, fail: async error => answer.fail(error)}, async signal => {
@@ -133,6 +142,11 @@
 		}
 	}
 
+	/** Answers with a deferred request as it stands. */
+	async fetchDeferred({customer, outgoing}: Arrival, context: CallerContext): Promise<void> {
+		await this.#options.deferred.fetch(context.req.param('id') ?? '', customer.name, outgoing);
+	}
+
 	async service(arrival: Arrival, context: CallerContext): Promise<void> {
 		const pool = context.req.param('pool') ?? '';
 		const requestClass = this.#classOf(arrival);
@@ -224,8 +238,23 @@
 	}
 
 	#begin(arrival: Arrival, requestClass: RequestClass): RequestLife {
-		const {requestId, customer, options, arrivedAt} = arrival;
-		const terms: RequestTerms = {
+		const terms = this.#termsOf(arrival, requestClass);
+		return new RequestLife(terms, (from, to) => {
+			this.#logTransition(terms, from, to);
+			if (to === 'admitted') {
+				this.#options.observer.admitted(terms, false);
+			}
+		});
+	}
+
+	/** Accepts a prompt durably, to be run by whichever instance lives. */
+	async #defer(arrival: Arrival, requestClass: RequestClass, body: ReceivedBody): Promise<void> {
+		const terms = this.#termsOf(arrival, requestClass);
+		await this.#options.deferred.accept(terms, {time: terms.deadlineAt - performance.now(), body: body.chunks, outgoing: arrival.outgoing});
+	}
+
+	#termsOf({requestId, customer, options, arrivedAt}: Arrival, requestClass: RequestClass): RequestTerms {
+		return {
 			requestId,
 			customer: customer.name,
 			requestClass: requestClass.name,
@@ -233,12 +262,6 @@
 			nonIdempotent: options.nonIdempotent || requestClass.nonIdempotent,
 			idempotencyKey: options.idempotencyKey,
 		};
-		return new RequestLife(terms, (from, to) => {
-			this.#logTransition(terms, from, to);
-			if (to === 'admitted') {
-				this.#options.observer.admitted(terms, requestClass.deferred);
-			}
-		});
 	}
 
 	#logTransition({requestId}: RequestTerms, from: RequestState, to: RequestState): void {
--- a/src/entry/chat-answer.ts
+++ b/src/entry/chat-answer.ts
@@ -41,6 +41,18 @@
 	return Math.floor(Date.now() / 1000);
 }
 
+/** Body of a whole answer. */
+export function wholeAnswer({requestId, model}: ChatAnswerContext, texts: readonly string[], {reason, usage}: Pick<Completion, 'reason' | 'usage'>): string {
+	return JSON.stringify({
+		id: requestId,
+		object: 'chat.completion',
+		created: unixTime(),
+		model,
+		choices: [{index: 0, message: {role: 'assistant', content: texts.join('')}, finish_reason: finishReason(reason)}],
+		usage: usageFields(usage),
+	});
+}
+
 /** Sends the whole answer at its end. */
 export class WholeChatAnswer implements ChatAnswer {
 	readonly #response: ServerResponse;
@@ -66,15 +78,8 @@
 	}
 
 	async complete({reason, usage}: Completion): Promise<void> {
-		const {requestId, model} = this.#context;
-		const body = JSON.stringify({
-			id: requestId,
-			object: 'chat.completion',
-			created: unixTime(),
-			model,
-			choices: [{index: 0, message: {role: 'assistant', content: this.#texts.join('')}, finish_reason: finishReason(reason)}],
-			usage: usageFields(usage),
-		});
+		const {requestId} = this.#context;
+		const body = wholeAnswer(this.#context, this.#texts, {reason, usage});
 		this.#response.writeHead(200, {
 			'content-type': 'application/json',
 			[headerNames.requestId]: requestId,
--- a/src/entry/instance.ts
+++ b/src/entry/instance.ts
@@ -7,6 +7,7 @@
 import {performance} from 'node:perf_hooks';
 import {collectDefaultMetrics, Registry} from 'prom-client';
 import {ConfigurationStore, type AcceptedConfiguration} from '../configuration/store.js';
+import type {DeferredTask} from '../deferred/deferred-task.js';
 import {CarobquayError} from '../errors/errors.js';
 import {LedgerTask} from '../ledger/ledger-task.js';
 import type {Platform} from '../platform/platform.js';
@@ -25,6 +26,9 @@
 import {KeyRing} from './authentication.js';
 import {BodyMemory} from './body.js';
 import {callersApplication, type InForce} from './callers.js';
+import {DeferredCallers} from './deferred-callers.js';
+import {openDeferred} from './deferred-instance.js';
+import {DeferredPrompts} from './deferred-runner.js';
 import {HttpListener} from './listener.js';
 import {operatorsApplication, type InstanceStatus} from './operators.js';
 import {RequestGate} from './request-gate.js';
@@ -57,6 +61,8 @@
 	readonly #directory: UpstreamDirectory;
 	readonly #store: ConfigurationStore;
 	readonly #ledger: LedgerTask;
+	readonly #prompts: PromptRunner;
+	readonly #deferred: DeferredTask;
 	readonly #callers: HttpListener;
 	readonly #operators: HttpListener;
 	#inForce: InForce | undefined;
@@ -81,6 +87,16 @@
 		this.#ledger = new LedgerTask({
 			instance: settings.instance.name, incarnation: this.#incarnation, objects: platform.objects, log: this.#log, ...settings.ledger,
 		});
+		this.#prompts = this.#createPrompts();
+		this.#deferred = openDeferred({
+			platform,
+			settings: settings.deferred,
+			runner: new DeferredPrompts({reader: this.#reader, prompts: this.#prompts, memory: this.#memory}),
+			log: this.#log,
+			owner: this.#incarnation,
+			observer: this.#ledger,
+			metrics,
+		});
 		this.#callers = new HttpListener(this.#createCallers(metrics).fetch);
 		this.#operators = new HttpListener(operatorsApplication({
 			keyHash: settings.operators.keyHash,
@@ -120,6 +136,7 @@
 		const operatorsAddress = await this.#operators.listen(operators.host, operators.port);
 		await Promise.all([this.#store.start(), this.#directory.start()]);
 		this.#ledger.start();
+		this.#deferred.start();
 		const callersAddress = await this.#callers.listen(callers.host, callers.port);
 		this.#log.info('instance.started', {callers: callersAddress, operators: operatorsAddress, incarnation: this.#incarnation});
 		return {callers: callersAddress, operators: operatorsAddress};
@@ -136,7 +153,7 @@
 		const timeUp = new Promise<boolean>(resolve => {
 			timer = setTimeout(resolve, this.#settings.limits.shutdown, false);
 		});
-		const ended = await Promise.race([this.#gate.close().then(() => true), timeUp]);
+		const ended = await Promise.race([this.#requestsEnded(), timeUp]);
 		clearTimeout(timer);
 		await this.stop();
 		await this.#ledger.close(ledgerCloseLimit);
@@ -151,7 +168,14 @@
 		const closed = Promise.all([this.#callers.close(), this.#operators.close()]);
 		this.#callers.destroy();
 		this.#operators.destroy();
-		await Promise.all([closed, this.#directory.stop(), this.#reader.close()]);
+		await Promise.all([closed, this.#directory.stop(), this.#reader.close(), this.#deferred.stop()]);
+	}
+
+	async #requestsEnded(): Promise<boolean> {
+		await Promise.all([this.#gate.close(), this.#deferred.drain()]);
+		// A request that was just being accepted has been taken on since.
+		await this.#deferred.drain();
+		return true;
 	}
 
 	#enforce({configuration}: AcceptedConfiguration): void {
@@ -195,8 +219,18 @@
 		});
 	}
 
+	#createPrompts(): PromptRunner {
+		const {upstreams} = this.#settings;
+		return new PromptRunner({
+			dispatcher: this.#dispatcher,
+			engine: name => this.#directory.engine(name),
+			owner: this.#owner,
+			orphanLifetime: upstreams.orphanLifetime,
+		});
+	}
+
 	#createCallers(metrics: RequestMetrics) {
-		const {limits, upstreams} = this.#settings;
+		const {limits} = this.#settings;
 		return callersApplication({
 			inForce: () => {
 				if (this.#inForce === undefined) {
@@ -206,18 +240,14 @@
 				return this.#inForce;
 			},
 			reader: this.#reader,
-			prompts: new PromptRunner({
-				dispatcher: this.#dispatcher,
-				engine: name => this.#directory.engine(name),
-				owner: this.#owner,
-				orphanLifetime: upstreams.orphanLifetime,
-			}),
+			prompts: this.#prompts,
 			services: new ServiceRunner({dispatcher: this.#dispatcher, service: name => this.#directory.service(name)}),
 			gate: this.#gate,
 			limits: {size: limits.body, silence: limits.callerSilence, memory: this.#memory},
 			log: this.#log,
 			metrics,
 			observer: this.#ledger,
+			deferred: new DeferredCallers(this.#deferred),
 		});
 	}
 
--- a/src/ledger/ledger-task.ts
+++ b/src/ledger/ledger-task.ts
@@ -48,7 +48,12 @@
 	tailInterval?: number;
 };
 
-type OpenPromise = {promise: RequestPromise; admittedAt: number};
+type OpenPromise = {
+	promise: RequestPromise;
+	/** Wall-clock and monotonic time in milliseconds at which this ledger was told of it. */
+	toldAt: number;
+	toldAtMonotonic: number;
+};
 type SealedBatch = {segment: Segment; numbered: readonly NumberedRecord[]};
 
 /** Writes the ledger of one incarnation. */
@@ -97,7 +102,7 @@
 		this.#tail?.stop();
 	}
 
-	admitted(terms: RequestTerms, deferred: boolean): void {
+	admitted(terms: RequestTerms, deferred: boolean, admittedAt = Date.now()): void {
 		const now = Date.now();
 		const promise: RequestPromise = {
 			requestId: terms.requestId,
@@ -106,9 +111,9 @@
 			deadline: Math.round(now + terms.deadlineAt - performance.now()),
 			nonIdempotent: terms.nonIdempotent,
 			deferred,
-			admittedAt: now,
+			admittedAt,
 		};
-		this.#open.set(terms.requestId, {promise, admittedAt: performance.now()});
+		this.#open.set(terms.requestId, {promise, toldAt: now, toldAtMonotonic: performance.now()});
 		this.#add({kind: 'admitted', promise});
 	}
 
@@ -120,10 +125,14 @@
 
 		this.#open.delete(requestId);
 		// The monotonic clock keeps the ending comparable to the deadline when the wall clock is set.
-		const endedAt = Math.round(open.promise.admittedAt + performance.now() - open.admittedAt);
+		const endedAt = Math.round(open.toldAt + performance.now() - open.toldAtMonotonic);
 		this.#add({kind: 'ended', promise: open.promise, ending: {...ending, endedAt}});
 	}
 
+	left({requestId}: RequestTerms): void {
+		this.#open.delete(requestId);
+	}
+
 	/**
 	 * Writes what is left and closes the chain.
 	 *
--- a/src/ledger/observer.ts
+++ b/src/ledger/observer.ts
@@ -11,8 +11,13 @@
 
 /** Told of what was promised and how it ended. */
 export interface RequestObserver {
-	/** @param deferred - Whether the request was accepted durably to be fetched later. */
-	admitted(terms: RequestTerms, deferred: boolean): void;
+	/**
+	 * @param deferred - Whether the request was accepted durably to be fetched later.
+	 * @param admittedAt - Wall-clock time in milliseconds; now unless another instance admitted the request.
+	 */
+	admitted(terms: RequestTerms, deferred: boolean, admittedAt?: number): void;
 	/** Requests that were never admitted are told of too. */
 	ended(terms: RequestTerms, ending: ObservedEnding): void;
+	/** Another instance has taken the request over and tells of its end. */
+	left(terms: RequestTerms): void;
 }
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -109,6 +109,10 @@
 	configuration: {
 		poll_interval: setting(duration, {defaultText: '5 s', example: '5 s', description: 'Time between looks at the table service for a newer configuration.'}),
 	},
+	deferred: {
+		lease_time: setting(duration, {defaultText: '10 s', example: '10 s', description: 'Time without a renewal after which another instance takes over the deferred requests of one that died.'}),
+		keep_time: setting(duration, {defaultText: '1 d', example: '1 d', description: 'Time for which the answer of a deferred request can be fetched after its end.'}),
+	},
 	ledger: {
 		batch_size: setting(wholeNumber(1, 10_000), {defaultText: '500', example: '500', description: 'Records of promises that make one segment of the ledger full.'}),
 		batch_time: setting(duration, {defaultText: '1 s', example: '1 s', description: 'Longest time that a record waits for its segment to fill; also what a dying instance can lose of the ledger where no peer holds its tail.'}),
