--- a/src/entry/instance.ts
+++ b/src/entry/instance.ts
@@ -6,14 +6,24 @@
 import {randomUUID} from 'node:crypto';
 import {performance} from 'node:perf_hooks';
 import {collectDefaultMetrics, Registry} from 'prom-client';
+import {ClaimedRequests} from '../claim/claimed-requests.js';
+import {ClaimStore} from '../claim/claim-store.js';
+import {KeptAnswers} from '../claim/kept-answers.js';
 import {ConfigurationStore, type AcceptedConfiguration} from '../configuration/store.js';
 import type {DeferredTask} from '../deferred/deferred-task.js';
 import {CarobquayError} from '../errors/errors.js';
+import {GroupCommit} from '../platform/group-commit.js';
 import {LedgerTask} from '../ledger/ledger-task.js';
 import type {Platform} from '../platform/platform.js';
+import {SettledWriter} from '../platform/settled-write.js';
+import {FleetPart} from '../fleet/fleet-part.js';
 import {Dispatcher} from '../request/dispatcher.js';
+import {ListedOwners} from '../request/listed-owners.js';
+import {OrphanReaper} from '../request/orphan-reaper.js';
 import {PromptReader} from '../request/prompt-reader.js';
 import {PromptRunner} from '../request/prompt-runner.js';
+import {RequestRunner} from '../request/request-runner.js';
+import {RetryPolicy} from '../request/retry-policy.js';
 import {ServiceRunner} from '../request/service-runner.js';
 import {Router} from '../routing/router.js';
 import type {ResolvedSettings} from '../settings/schema.js';
@@ -60,11 +70,16 @@
 	readonly #dispatcher: Dispatcher;
 	readonly #directory: UpstreamDirectory;
 	readonly #store: ConfigurationStore;
+	readonly #claims: ClaimStore;
+	readonly #owners = new ListedOwners();
+	readonly #reaper: OrphanReaper;
 	readonly #ledger: LedgerTask;
+	readonly #retries = new RetryPolicy();
 	readonly #prompts: PromptRunner;
 	readonly #deferred: DeferredTask;
 	readonly #callers: HttpListener;
 	readonly #operators: HttpListener;
+	readonly #fleet: FleetPart | undefined;
 	#inForce: InForce | undefined;
 
 	constructor({settings, platform, connector, log}: EntryInstanceOptions) {
@@ -74,6 +89,7 @@
 		this.#router = new Router({instance: settings.instance.name, failureDomain: settings.instance.failureDomain});
 		const metrics = new RequestMetrics(this.#registry, () => this.#gate.inFlight);
 		collectDefaultMetrics({register: this.#registry, prefix: 'carobquay_'});
+		this.#fleet = this.#createFleet();
 		this.#directory = this.#createDirectory(platform, connector);
 		this.#dispatcher = this.#createDispatcher(metrics);
 		this.#store = new ConfigurationStore({
@@ -84,6 +100,10 @@
 				this.#enforce(accepted);
 			},
 		});
+		this.#reaper = new OrphanReaper({
+			engines: () => this.#directory.engines, isOwnerDead: owner => this.#owners.isDead(owner, performance.now()), log: this.#log,
+		});
+		this.#claims = new ClaimStore({table: platform.table, committer: new GroupCommit(new SettledWriter(platform.table)), log: this.#log});
 		this.#ledger = new LedgerTask({
 			instance: settings.instance.name, incarnation: this.#incarnation, objects: platform.objects, log: this.#log, ...settings.ledger,
 		});
@@ -97,7 +117,7 @@
 			observer: this.#ledger,
 			metrics,
 		});
-		this.#callers = new HttpListener(this.#createCallers(metrics).fetch);
+		this.#callers = new HttpListener(this.#createCallers(metrics, platform).fetch);
 		this.#operators = new HttpListener(operatorsApplication({
 			keyHash: settings.operators.keyHash,
 			registry: this.#registry,
@@ -122,6 +142,7 @@
 			waiting: this.#dispatcher.waiting,
 			bodyBytes: this.#memory.held,
 			upstreams: this.#directory.upstreams,
+			members: this.#fleet?.members ?? [],
 		};
 	}
 
@@ -134,7 +155,9 @@
 	async start(): Promise<InstanceAddresses> {
 		const {callers, operators} = this.#settings;
 		const operatorsAddress = await this.#operators.listen(operators.host, operators.port);
+		await this.#fleet?.start();
 		await Promise.all([this.#store.start(), this.#directory.start()]);
+		this.#reaper.start();
 		this.#ledger.start();
 		this.#deferred.start();
 		const callersAddress = await this.#callers.listen(callers.host, callers.port);
@@ -149,11 +172,12 @@
 	 */
 	async shutdown(): Promise<boolean> {
 		this.#log.info('instance.stopping', {in_flight: this.#gate.inFlight});
+		this.#fleet?.leave();
 		let timer: NodeJS.Timeout | undefined;
 		const timeUp = new Promise<boolean>(resolve => {
 			timer = setTimeout(resolve, this.#settings.limits.shutdown, false);
 		});
-		const ended = await Promise.race([this.#requestsEnded(), timeUp]);
+		const ended = await Promise.race([this.#endAll().then(() => true), timeUp]);
 		clearTimeout(timer);
 		await this.stop();
 		await this.#ledger.close(ledgerCloseLimit);
@@ -163,6 +187,8 @@
 
 	/** Stops at once, cutting what is in flight. */
 	async stop(): Promise<void> {
+		this.#reaper.stop();
+		this.#fleet?.stop();
 		this.#store.stop();
 		this.#ledger.stop();
 		const closed = Promise.all([this.#callers.close(), this.#operators.close()]);
@@ -171,16 +197,34 @@
 		await Promise.all([closed, this.#directory.stop(), this.#reader.close(), this.#deferred.stop()]);
 	}
 
-	async #requestsEnded(): Promise<boolean> {
+	/** Resolves when no request is in flight and the table has the endings of all claims. */
+	async #endAll(): Promise<void> {
 		await Promise.all([this.#gate.close(), this.#deferred.drain()]);
-		// A request that was just being accepted has been taken on since.
+		// A deferred request that was just being accepted has been taken on since.
 		await this.#deferred.drain();
-		return true;
+		await this.#claims.settled();
 	}
 
 	#enforce({configuration}: AcceptedConfiguration): void {
 		this.#inForce = {configuration, keys: new KeyRing(configuration)};
 		this.#router.setConfiguration(configuration, performance.now());
+		this.#fleet?.generationInForce();
+	}
+
+	/** Links to the other instances, where the settings give keys for them. */
+	#createFleet(): FleetPart | undefined {
+		const {instance, peers, upstreams} = this.#settings;
+		return peers.keys.length === 0
+			? undefined
+			: new FleetPart({
+				...instance,
+				...peers,
+				...upstreams,
+				log: this.#log,
+				router: this.#router,
+				store: () => this.#store,
+				directory: () => this.#directory,
+			});
 	}
 
 	#createDirectory(platform: Platform, connector: UpstreamConnector): UpstreamDirectory {
@@ -191,6 +235,7 @@
 			log: this.#log,
 			listInterval: this.#settings.upstreams.listInterval,
 			loadInterval: this.#settings.upstreams.loadInterval,
+			sharing: this.#fleet?.sharing,
 			listener: {
 				upstreamsChanged(upstreams, now) {
 					router.setUpstreams(upstreams, now);
@@ -198,6 +243,9 @@
 				observe: observation => {
 					this.#dispatcher.observe(observation);
 				},
+				listed: (snapshot, now) => {
+					this.#owners.observe(snapshot, now);
+				},
 				lastCacheSequence: upstream => router.lastCacheSequence(upstream),
 				get toResync() {
 					return router.toResync;
@@ -220,16 +268,16 @@
 	}
 
 	#createPrompts(): PromptRunner {
-		const {upstreams} = this.#settings;
 		return new PromptRunner({
 			dispatcher: this.#dispatcher,
+			retries: this.#retries,
 			engine: name => this.#directory.engine(name),
 			owner: this.#owner,
-			orphanLifetime: upstreams.orphanLifetime,
+			orphanLifetime: this.#settings.upstreams.orphanLifetime,
 		});
 	}
 
-	#createCallers(metrics: RequestMetrics) {
+	#createCallers(metrics: RequestMetrics, platform: Platform) {
 		const {limits} = this.#settings;
 		return callersApplication({
 			inForce: () => {
@@ -240,8 +288,7 @@
 				return this.#inForce;
 			},
 			reader: this.#reader,
-			prompts: this.#prompts,
-			services: new ServiceRunner({dispatcher: this.#dispatcher, service: name => this.#directory.service(name)}),
+			requests: this.#createRequests(platform),
 			gate: this.#gate,
 			limits: {size: limits.body, silence: limits.callerSilence, memory: this.#memory},
 			log: this.#log,
@@ -251,6 +298,16 @@
 		});
 	}
 
+	#createRequests(platform: Platform): RequestRunner {
+		return new RequestRunner({
+			prompts: this.#prompts,
+			services: new ServiceRunner({dispatcher: this.#dispatcher, retries: this.#retries, service: name => this.#directory.service(name)}),
+			claims: new ClaimedRequests({
+				store: this.#claims, answers: new KeptAnswers(platform.objects, this.#log), owner: this.#owner, log: this.#log,
+			}),
+		});
+	}
+
 	/** Name and incarnation, by which engines know whose streams they hold. */
 	get #owner(): string {
 		return `${this.#settings.instance.name}/${this.#incarnation}`;
