--- a/src/entry/instance.ts
+++ b/src/entry/instance.ts
@@ -10,6 +10,7 @@
 import {ClaimStore} from '../claim/claim-store.js';
 import {KeptAnswers} from '../claim/kept-answers.js';
 import {ConfigurationStore, type AcceptedConfiguration} from '../configuration/store.js';
+import type {DeferredTask} from '../deferred/deferred-task.js';
 import {CarobquayError} from '../errors/errors.js';
 import {GroupCommit} from '../platform/group-commit.js';
 import {LedgerTask} from '../ledger/ledger-task.js';
@@ -35,6 +36,9 @@
 import {KeyRing} from './authentication.js';
 import {BodyMemory} from './body.js';
 import {callersApplication, type InForce} from './callers.js';
+import {DeferredCallers} from './deferred-callers.js';
+import {openDeferred} from './deferred-instance.js';
+import {DeferredPrompts} from './deferred-runner.js';
 import {HttpListener} from './listener.js';
 import {operatorsApplication, type InstanceStatus} from './operators.js';
 import {RequestGate} from './request-gate.js';
@@ -70,6 +74,9 @@
 	readonly #owners = new ListedOwners();
 	readonly #reaper: OrphanReaper;
 	readonly #ledger: LedgerTask;
+	readonly #retries = new RetryPolicy();
+	readonly #prompts: PromptRunner;
+	readonly #deferred: DeferredTask;
 	readonly #callers: HttpListener;
 	readonly #operators: HttpListener;
 	readonly #fleet: FleetPart | undefined;
@@ -100,6 +107,16 @@
 		this.#ledger = new LedgerTask({
 			instance: settings.instance.name, incarnation: this.#incarnation, objects: platform.objects, log: this.#log, ...settings.ledger,
 		});
+		this.#prompts = this.#createPrompts();
+		this.#deferred = openDeferred({
+			platform,
+			settings: settings.deferred,
+			runner: new DeferredPrompts({reader: this.#reader, prompts: this.#prompts, memory: this.#memory}),
+			log: this.#log,
+			owner: this.#incarnation,
+			observer: this.#ledger,
+			metrics,
+		});
 		this.#callers = new HttpListener(this.#createCallers(metrics, platform).fetch);
 		this.#operators = new HttpListener(operatorsApplication({
 			keyHash: settings.operators.keyHash,
@@ -142,6 +159,7 @@
 		await Promise.all([this.#store.start(), this.#directory.start()]);
 		this.#reaper.start();
 		this.#ledger.start();
+		this.#deferred.start();
 		const callersAddress = await this.#callers.listen(callers.host, callers.port);
 		this.#log.info('instance.started', {callers: callersAddress, operators: operatorsAddress, incarnation: this.#incarnation});
 		return {callers: callersAddress, operators: operatorsAddress};
@@ -176,12 +194,14 @@
 		const closed = Promise.all([this.#callers.close(), this.#operators.close()]);
 		this.#callers.destroy();
 		this.#operators.destroy();
-		await Promise.all([closed, this.#directory.stop(), this.#reader.close()]);
+		await Promise.all([closed, this.#directory.stop(), this.#reader.close(), this.#deferred.stop()]);
 	}
 
 	/** Resolves when no request is in flight and the table has the endings of all claims. */
 	async #endAll(): Promise<void> {
-		await this.#gate.close();
+		await Promise.all([this.#gate.close(), this.#deferred.drain()]);
+		// A deferred request that was just being accepted has been taken on since.
+		await this.#deferred.drain();
 		await this.#claims.settled();
 	}
 
@@ -247,6 +267,16 @@
 		});
 	}
 
+	#createPrompts(): PromptRunner {
+		return new PromptRunner({
+			dispatcher: this.#dispatcher,
+			retries: this.#retries,
+			engine: name => this.#directory.engine(name),
+			owner: this.#owner,
+			orphanLifetime: this.#settings.upstreams.orphanLifetime,
+		});
+	}
+
 	#createCallers(metrics: RequestMetrics, platform: Platform) {
 		const {limits} = this.#settings;
 		return callersApplication({
@@ -264,20 +294,14 @@
 			log: this.#log,
 			metrics,
 			observer: this.#ledger,
+			deferred: new DeferredCallers(this.#deferred),
 		});
 	}
 
 	#createRequests(platform: Platform): RequestRunner {
-		const retries = new RetryPolicy();
 		return new RequestRunner({
-			prompts: new PromptRunner({
-				dispatcher: this.#dispatcher,
-				retries,
-				engine: name => this.#directory.engine(name),
-				owner: this.#owner,
-				orphanLifetime: this.#settings.upstreams.orphanLifetime,
-			}),
-			services: new ServiceRunner({dispatcher: this.#dispatcher, retries, service: name => this.#directory.service(name)}),
+			prompts: this.#prompts,
+			services: new ServiceRunner({dispatcher: this.#dispatcher, retries: this.#retries, service: name => this.#directory.service(name)}),
 			claims: new ClaimedRequests({
 				store: this.#claims, answers: new KeptAnswers(platform.objects, this.#log), owner: this.#owner, log: this.#log,
 			}),
