fix(bench): leave the two-year workload out of the default run

Cause: 350 routers with 600 engines each exhausted 4 GB of heap; with 24 of them a run of 16 s did not end within 110 s.

--- a/bench/policy/index.ts
+++ b/bench/policy/index.ts
@@ -28,7 +28,7 @@
 const program = new Command('bench:policy')
 	.option('--json', 'print only the last line of JSON', false)
 	.option('--seed <number>', 'seed of traces and policies', '1')
-	.option('--workload <file>', 'workload file; all shipped ones by default')
+	.option('--workload <file>', 'workload file; all shipped ones but two-year.ini by default')
 	.option('--policy <name>', `one of ${policyNames.join(', ')}`)
 	.option('--kind <kind>', `one of ${kinds.join(', ')}`)
 	.option('--load <load>', `one of ${loads.join(', ')}`)
@@ -43,6 +43,11 @@
 	const results: Record<string, unknown> = {};
 	for (const file of files) {
 		const workload = shorten(readWorkload(file), options.quick);
+		if (options.workload === undefined && workload.workload.policies === 'few') {
+			// Large fleets take too long to be run by default.
+			continue;
+		}
+
 		results[workload.workload.name] = runWorkload(workload, seed, options);
 	}
 
