--- a/bench/fleet/main.ts
+++ b/bench/fleet/main.ts
@@ -88,7 +88,7 @@
 	const linear = (key: keyof SizeFigures) => fit(sizes.map(size => [size.nodes, size[key]]));
 	const logarithmic = (key: keyof SizeFigures) => fit(sizes.map(size => [Math.log2(size.nodes), size[key]]));
 	const slopes = {
-		link_bytes_per_second: full('link_bytes_per_second'),
+		link_bytes_per_second: rising(full('link_bytes_per_second'), steady.map(size => size.link_bytes_per_second)),
 		cpu_percent: rising(full('cpu_percent'), steady.map(size => size.cpu_percent)),
 		memory_mb: rising(full('memory_mb'), steady.map(size => size.memory_mb)),
 		table_reads_per_second: linear('table_reads_per_second'),
--- a/bench/policy/workload.ts
+++ b/bench/policy/workload.ts
@@ -30,6 +30,8 @@
 const workloadFile = z.object({
 	workload: z.object({
 		name: z.string(), duration_s: number, warmup_s: number, bytes_per_token: number, bytes_per_token_spread: number,
+		/** Whether all policies run or, on large fleets, a few. */
+		policies: z.enum(['all', 'few']).default('all'),
 	}),
 	instances: z.object({
 		count: number, domains: names, latency_ms: number, client_latency_ms: number, digest_interval_ms: number,
--- a/src/routing/engine-choice.ts
+++ b/src/routing/engine-choice.ts
@@ -17,12 +17,24 @@
 /** Engines sampled from the ranges of longer tiers, whose idle capacity may be used. */
 const longerRangeSample = 1;
 
+/** Engines sampled from those kept for short prompts, for a medium one that would wait long elsewhere. */
+const shorterRangeSample = 1;
+
+/** Factor of a penalty where the engine is at work and would go on without serving its streams. */
+const occupiedFactor = 10;
+
+/** Share of the engines kept for short prompts that a medium one may take. */
+const sharedShare = 0.25;
+
 /** Engines looked at because they hold the prompt's prefix. */
 const prefixSample = 2;
 
 /** Expected loss in milliseconds where an engine may have just begun longer work of another instance. */
 const longerRangePenalty = 300;
 
+/** Expected loss in milliseconds of short prompts where a medium one takes one of their engines. */
+const shorterRangePenalty = 3000;
+
 /** Expected wait in milliseconds at an engine whose memory is full. */
 const fullMemoryPenalty = 2000;
 
@@ -45,6 +57,8 @@
 	/** Tokens that one prefix hash covers. */
 	tokensPerHash: number;
 	excluded: readonly string[];
+	/** Whether long prompts wait, so that their engines should run empty. */
+	longWaits: boolean;
 	/** Attempts so far; another attempt samples anew. */
 	attempt: number;
 };
@@ -85,24 +99,21 @@
 
 	/** Scored candidates for a prompt of the short or medium tier, best first. */
 	candidates(pool: EnginePool, prompt: Prompt, now: number): ScoredEngine[] {
-		const range = pool.range(prompt.tier, now);
-		const chosen = this.#sample(pool, prompt, range);
-		if (chosen.size === 0) {
-			// All of the tier's engines are excluded: any other is better than none.
-			for (const view of pool.members) {
-				if (!prompt.excluded.includes(view.name)) {
-					chosen.add(view);
-				}
-			}
-		}
+		return [...this.#sample(pool, prompt, now)].map(view => this.score(pool, view, prompt, now)).toSorted(byScore);
+	}
 
-		return [...chosen].map(view => this.score(pool, view, prompt, now)).toSorted(byScore);
+	/** All engines that were not tried, scored, best first, for a prompt whose own range has none left. */
+	remaining(pool: EnginePool, prompt: Prompt, now: number): ScoredEngine[] {
+		return pool.members
+			.filter(view => !prompt.excluded.includes(view.name))
+			.map(view => this.score(pool, view, prompt, now))
+			.toSorted(byScore);
 	}
 
-	/** All engines of the long range, scored, best first. */
+	/** Engines that are not kept for short prompts, scored, best first. */
 	longCandidates(pool: EnginePool, prompt: Prompt, now: number): ScoredEngine[] {
-		const {first, end} = pool.range('long', now);
-		return pool.members.slice(first, end)
+		const {first} = pool.range('short', now);
+		return pool.members.slice(0, Math.max(first, pool.range('long', now).end))
 			.filter(view => !prompt.excluded.includes(view.name))
 			.map(view => this.score(pool, view, prompt, now))
 			.toSorted(byScore);
@@ -121,7 +132,7 @@
 		const score = wait + prefillTime
 			+ (view.streams(now) * streamDelay)
 			+ (fits ? 0 : fullMemoryPenalty)
-			+ this.#rangePenalty(pool, view, prompt.tier, now)
+			+ (this.#rangePenalty(pool, view, prompt.tier, now) * (wait > 0 ? 1 + (occupiedFactor * pool.rate.blocking) : 1))
 			+ (this.#options.domainOf(view.name) === this.#options.failureDomain ? 0 : otherDomainDelay)
 			+ (this.#options.isSuspect(view.name, now) ? suspectPenalty : 0);
 		return {
@@ -130,13 +141,22 @@
 	}
 
 	#rangePenalty(pool: EnginePool, view: LoadView, tier: WorkTier, now: number): number {
-		return tier !== 'long' && (pool.position(view.name) ?? 0) < pool.range(tier, now).first ? longerRangePenalty : 0;
+		const {first, end} = pool.range(tier, now);
+		const position = pool.position(view.name) ?? 0;
+		if (position >= end) {
+			return shorterRangePenalty;
+		}
+
+		return position < first ? longerRangePenalty : 0;
 	}
 
-	#sample(pool: EnginePool, prompt: Prompt, range: PositionRange): Set<LoadView> {
+	#sample(pool: EnginePool, prompt: Prompt, now: number): Set<LoadView> {
 		const {members} = pool;
+		const range = pool.range(prompt.tier, now);
 		const generator = xorshift128plus(hashText(prompt.requestId, this.#options.seed + prompt.attempt));
 		const chosen = new Set<LoadView>();
+		const longEnd = pool.range('long', now).end;
+		const lowest = prompt.longWaits && range.first >= longEnd ? longEnd : 0;
 		const pick = ({first, end}: PositionRange, count: number) => {
 			const start = end > first ? uniformInt(generator, first, end - 1) : first;
 			for (let step = 0, found = 0; step < end - first && found < count; step++) {
@@ -150,11 +170,15 @@
 		};
 
 		pick(range, ownRangeSample);
-		pick({first: 0, end: range.first}, longerRangeSample);
+		pick({first: lowest, end: range.first}, longerRangeSample);
+		if (prompt.tier === 'medium') {
+			pick({first: range.end, end: sharedEnd(range.end, members.length)}, shorterRangeSample);
+		}
+
 		const rotation = uniformInt(generator, 0, members.length);
 		for (const name of this.#index.holders(prompt.prefixHashes, prefixSample, rotation)) {
 			const position = pool.position(name);
-			if (position !== undefined && position < range.end && !prompt.excluded.includes(name)) {
+			if (position !== undefined && position >= lowest && position < range.end && !prompt.excluded.includes(name)) {
 				chosen.add(members[position]!);
 			}
 		}
@@ -163,6 +187,11 @@
 	}
 }
 
+/** End of those positions kept for short prompts that medium ones may take. */
+function sharedEnd(first: number, end: number): number {
+	return first + Math.floor((end - first) * sharedShare);
+}
+
 function byScore(left: ScoredEngine, right: ScoredEngine): number {
 	return left.score - right.score || (left.view.name < right.view.name ? -1 : 1);
 }
--- a/src/upstream/http-upstream.ts
+++ b/src/upstream/http-upstream.ts
@@ -187,7 +187,9 @@
 	}
 
 	#createPool(): Pool {
-		return new Pool(this.#origin, {connect: {timeout: this.#connectTimeout}, headersTimeout: 0, bodyTimeout: 0});
+		return new Pool(this.#origin, {
+			connect: {timeout: this.#connectTimeout}, headersTimeout: 0, bodyTimeout: 0, keepAliveTimeout: keptIdle,
+		});
 	}
 
 	#replace(pool: Pool): void {
@@ -203,6 +205,9 @@
 	return error instanceof Error && 'code' in error && typeof error.code === 'string' && connectFailures.has(error.code);
 }
 
+/** Time in milliseconds that an idle connection is kept: the longer, the likelier it has gone silent. */
+const keptIdle = 4000;
+
 /** Largest body in bytes that is handed over in one piece. */
 const largestWholeBody = 65_536;
 
