--- a/src/fleet/__tests__/load-sharing.test.ts
+++ b/src/fleet/__tests__/load-sharing.test.ts
@@ -86,3 +86,43 @@
 		}
 	});
 }
+
+const listCases: Array<{name: string; upstreams: number; isJoined: boolean; known: number; least: number; most: number}> = [
+	{
+		name: 'few upstreams: at the interval of the settings', upstreams: 40, isJoined: true, known: 1, least: 1000, most: 1000,
+	},
+	{
+		name: 'many upstreams: seldom', upstreams: 600, isJoined: true, known: 1, least: 90_000, most: 90_000,
+	},
+	{
+		name: 'many upstreams without a link: at the interval of the settings', upstreams: 600, isJoined: false, known: 1, least: 1000, most: 1000,
+	},
+	{
+		name: 'a newer revision is known: soon', upstreams: 600, isJoined: true, known: 2, least: 0, most: 1200,
+	},
+];
+
+for (const {
+	name, upstreams, isJoined, known, least, most,
+} of listCases) {
+	test(`list, ${name}`, t => {
+		const sharing = new WatcherSharing({
+			channel: {
+				isJoined,
+				isWatcher: () => false,
+				listRevision: known,
+				announceListRevision: () => undefined,
+				publishLoad: () => undefined,
+				setListed: () => undefined,
+			},
+			fanOut: 2,
+			loadInterval: 500,
+			directLimit: 40,
+		});
+		sharing.listed(listed(upstreams), 1);
+
+		const interval = sharing.listInterval(1000);
+
+		t.true(interval >= least && interval <= most, `${interval} ms`);
+	});
+}
