fix(stand-in): count the rest of the present step in a reservation's expected wait

Change: the host of the modelled engine remembers when its step ends and adds what is left. Ruled out: changing the model, which knows no time. Measured: the engine contract passes over both clients as before.

--- a/src/settings/__tests__/resolve.test.ts
+++ b/src/settings/__tests__/resolve.test.ts
@@ -34,7 +34,9 @@
 		message: 'entry.ini: [platform] table is missing; with adapter = http write table = 10.0.9.1:7001',
 	},
 	{
-		name: 'two faults at once', text: '[platform]\nadapter = memory\n[log]\nlevel = loud\n', message: 'entry.ini: [log] level = loud: expected debug, info, warn or error; for example level = info',
+		name: 'two faults at once',
+		text: '[platform]\nadapter = memory\n[log]\nlevel = loud\n',
+		message: 'entry.ini: [log] level = loud: expected debug, info, warn or error; for example level = info',
 	},
 ];
 
--- a/src/stand-in/engine/engine-host.ts
+++ b/src/stand-in/engine/engine-host.ts
@@ -87,6 +87,8 @@
 	#loadSequence = 0;
 	#created = 0;
 	#stepping = false;
+	/** Monotonic time in milliseconds at which the present step ends. */
+	#stepEndsAt = 0;
 	#closed = false;
 
 	/** @param thawed - Resolves once the engine is not frozen; it does no work before. */
@@ -189,7 +191,9 @@
 	/** Sets memory aside for a lifetime in milliseconds. */
 	reserve({owner, promptTokens, answerTokens, lifetime}: {requestId: string; owner: string; promptTokens: number; answerTokens: number; lifetime: number}): Reservation {
 		const reservationId = `${owner}-${ulid()}`;
-		const expectedWait = this.model.expectedWait() * this.#options.timeScale;
+		// The model has done the present step's work already; its time is still running.
+		const restOfStep = Math.max(0, this.#stepEndsAt - performance.now());
+		const expectedWait = restOfStep + (this.model.expectedWait() * this.#options.timeScale);
 		const expiresAt = performance.now() + lifetime;
 		admit(this.model.reserve({
 			reservationId, promptTokens, answerTokens, expiresAt,
@@ -312,7 +316,9 @@
 				return;
 			}
 
-			await pause(result.duration * this.#options.timeScale); // eslint-disable-line no-await-in-loop
+			const duration = result.duration * this.#options.timeScale;
+			this.#stepEndsAt = performance.now() + duration;
+			await pause(duration); // eslint-disable-line no-await-in-loop
 			this.#publish(result);
 		}
 	}
