fix(ledger): a request that is admitted again keeps its first promise

Cause: a claim can move a request to "admitted" a second time, which gave the ledger a later time of admission. Change: a promise that is still open is not recorded again. Measured: 59 ledger and deferred tests pass; without the line the new test fails.

--- a/src/ledger/__tests__/ledger-task.test.ts
+++ b/src/ledger/__tests__/ledger-task.test.ts
@@ -106,3 +106,24 @@
 	await clock.tickAsync(2001);
 	t.false(await closed);
 });
+
+test.serial('a request that is admitted again keeps its first promise', async t => {
+	const clock = pauseClock(t);
+	const bench = new LedgerBench();
+	const ledger = bench.start();
+	const request = terms('request-1');
+	const admittedAt = Date.now();
+	ledger.admitted(request, false);
+	await clock.tickAsync(2000);
+	ledger.admitted(request, false);
+	ledger.ended(request, answered);
+	t.true(await ledger.close(1000));
+	const {promises} = await bench.audit();
+	t.deepEqual(promises.map(promise => promise.admittedAt), [admittedAt]);
+	const keys = await bench.keys();
+	const records = await Promise.all(keys.map(async key => {
+		const bytes = await bench.objects.get(key);
+		return openSegment(key, bytes!).records;
+	}));
+	t.deepEqual(records.flat().map(record => record.kind === 'gap' ? 0 : record.promise.admittedAt), [admittedAt, admittedAt]);
+});
--- a/src/ledger/ledger-task.ts
+++ b/src/ledger/ledger-task.ts
@@ -103,6 +103,11 @@
 	}
 
 	admitted(terms: RequestTerms, deferred: boolean, admittedAt = Date.now()): void {
+		if (this.#open.has(terms.requestId)) {
+			// A claim can admit a request again; its promise is the first one.
+			return;
+		}
+
 		const now = Date.now();
 		const promise: RequestPromise = {
 			requestId: terms.requestId,
