--- a/src/entry/instance.ts
+++ b/src/entry/instance.ts
@@ -8,6 +8,7 @@
 import {collectDefaultMetrics, Registry} from 'prom-client';
 import {ClaimedRequests} from '../claim/claimed-requests.js';
 import {ClaimStore} from '../claim/claim-store.js';
+import {ClaimSweeper} from '../claim/claim-sweeper.js';
 import {KeptAnswers} from '../claim/kept-answers.js';
 import {ConfigurationStore, type AcceptedConfiguration} from '../configuration/store.js';
 import {CarobquayError} from '../errors/errors.js';
@@ -61,7 +62,9 @@
 	readonly #dispatcher: Dispatcher;
 	readonly #directory: UpstreamDirectory;
 	readonly #store: ConfigurationStore;
+	readonly #committer: GroupCommit;
 	readonly #claims: ClaimStore;
+	readonly #sweeper: ClaimSweeper;
 	readonly #owners = new ListedOwners();
 	readonly #reaper: OrphanReaper;
 	readonly #callers: HttpListener;
@@ -88,7 +91,11 @@
 		this.#reaper = new OrphanReaper({
 			engines: () => this.#directory.engines, isOwnerDead: owner => this.#owners.isDead(owner, performance.now()), log: this.#log,
 		});
-		this.#claims = new ClaimStore({table: platform.table, committer: new GroupCommit(new SettledWriter(platform.table)), log: this.#log});
+		this.#committer = new GroupCommit(new SettledWriter(platform.table));
+		this.#claims = new ClaimStore({table: platform.table, committer: this.#committer, log: this.#log});
+		this.#sweeper = new ClaimSweeper({
+			table: platform.table, committer: this.#committer, answers: new KeptAnswers(platform.objects, this.#log), log: this.#log,
+		});
 		this.#callers = new HttpListener(this.#createCallers(metrics, platform).fetch);
 		this.#operators = new HttpListener(operatorsApplication({
 			keyHash: settings.operators.keyHash,
@@ -128,6 +135,7 @@
 		const operatorsAddress = await this.#operators.listen(operators.host, operators.port);
 		await Promise.all([this.#store.start(), this.#directory.start()]);
 		this.#reaper.start();
+		this.#sweeper.start();
 		const callersAddress = await this.#callers.listen(callers.host, callers.port);
 		this.#log.info('instance.started', {callers: callersAddress, operators: operatorsAddress, incarnation: this.#incarnation});
 		return {callers: callersAddress, operators: operatorsAddress};
@@ -154,6 +162,7 @@
 	/** Stops at once, cutting what is in flight. */
 	async stop(): Promise<void> {
 		this.#reaper.stop();
+		this.#sweeper.stop();
 		this.#store.stop();
 		const closed = Promise.all([this.#callers.close(), this.#operators.close()]);
 		this.#callers.destroy();
