--- a/src/entry/instance.ts
+++ b/src/entry/instance.ts
@@ -8,6 +8,7 @@
 import {collectDefaultMetrics, Registry} from 'prom-client';
 import {ClaimedRequests} from '../claim/claimed-requests.js';
 import {ClaimStore} from '../claim/claim-store.js';
+import {ClaimSweeper} from '../claim/claim-sweeper.js';
 import {KeptAnswers} from '../claim/kept-answers.js';
 import {ConfigurationStore, type AcceptedConfiguration} from '../configuration/store.js';
 import type {DeferredTask} from '../deferred/deferred-task.js';
@@ -70,7 +71,9 @@
 	readonly #dispatcher: Dispatcher;
 	readonly #directory: UpstreamDirectory;
 	readonly #store: ConfigurationStore;
+	readonly #committer: GroupCommit;
 	readonly #claims: ClaimStore;
+	readonly #sweeper: ClaimSweeper;
 	readonly #owners = new ListedOwners();
 	readonly #reaper: OrphanReaper;
 	readonly #ledger: LedgerTask;
@@ -103,7 +106,11 @@
 		this.#reaper = new OrphanReaper({
 			engines: () => this.#directory.engines, isOwnerDead: owner => this.#owners.isDead(owner, performance.now()), log: this.#log,
 		});
-		this.#claims = new ClaimStore({table: platform.table, committer: new GroupCommit(new SettledWriter(platform.table)), log: this.#log});
+		this.#committer = new GroupCommit(new SettledWriter(platform.table));
+		this.#claims = new ClaimStore({table: platform.table, committer: this.#committer, log: this.#log});
+		this.#sweeper = new ClaimSweeper({
+			table: platform.table, committer: this.#committer, answers: new KeptAnswers(platform.objects, this.#log), log: this.#log,
+		});
 		this.#ledger = new LedgerTask({
 			instance: settings.instance.name, incarnation: this.#incarnation, objects: platform.objects, log: this.#log, ...settings.ledger,
 		});
@@ -160,6 +167,7 @@
 		this.#reaper.start();
 		this.#ledger.start();
 		this.#deferred.start();
+		this.#sweeper.start();
 		const callersAddress = await this.#callers.listen(callers.host, callers.port);
 		this.#log.info('instance.started', {callers: callersAddress, operators: operatorsAddress, incarnation: this.#incarnation});
 		return {callers: callersAddress, operators: operatorsAddress};
@@ -188,7 +196,11 @@
 	/** Stops at once, cutting what is in flight. */
 	async stop(): Promise<void> {
 		this.#reaper.stop();
+<<<<<<< HEAD
 		this.#fleet?.stop();
+=======
+		this.#sweeper.stop();
+>>>>>>> promises
 		this.#store.stop();
 		this.#ledger.stop();
 		const closed = Promise.all([this.#callers.close(), this.#operators.close()]);
