fix(entry): finish the merge of claims' sweeping into the instance

Cause: one conflict of the merge before was committed unresolved, so that the instance did not parse. Change: both sides are kept: the fleet's part and the sweeper stop with the instance. Ruled out: nothing else of the merge is affected; no other file holds a marker. Measured: the type check fails before and passes after.

--- a/src/entry/instance.ts
+++ b/src/entry/instance.ts
@@ -196,11 +196,8 @@
 	/** Stops at once, cutting what is in flight. */
 	async stop(): Promise<void> {
 		this.#reaper.stop();
-<<<<<<< HEAD
 		this.#fleet?.stop();
-=======
 		this.#sweeper.stop();
->>>>>>> promises
 		this.#store.stop();
 		this.#ledger.stop();
 		const closed = Promise.all([this.#callers.close(), this.#operators.close()]);
