fix(routing): let engines learn with their pool also where they were known before the configuration

An upstream known before its pool kept a rate of its own, so that what it taught never reached the pool: the pool went on assuming 20 ms of prefill where 2.5 ms were observed, and thought itself busy at 147%. Change: a pool's members take on the pool's rate whenever they are assigned; a table tries both orders of the start. Ruled out: the price of a probe (1.2 ms, learnt correctly) and the time of the decision (154 us at its first, 20 us later).

--- a/src/routing/__tests__/router.test.ts
+++ b/src/routing/__tests__/router.test.ts
@@ -192,3 +192,39 @@
 		['llm-1', undefined], ['llm-2', 'is leaving'], ['viide-1', 'role=llm'],
 	]);
 });
+
+const startOrders: Array<{name: string; configurationFirst: boolean}> = [
+	{name: 'the configuration', configurationFirst: true},
+	{name: 'the upstreams', configurationFirst: false},
+];
+
+for (const {name, configurationFirst} of startOrders) {
+	test(`an instance that knows ${name} first uses the prefill times that it observes`, t => {
+		const router = new Router({instance: 'entry-1', failureDomain: 'tartu-a', seed: 1});
+		const steps = [
+			() => {
+				router.setConfiguration(configuration, 0);
+			},
+			() => {
+				router.setUpstreams([upstream('llm-1')], 0);
+			},
+		];
+		for (const step of configurationFirst ? steps : steps.toReversed()) {
+			step();
+		}
+
+		const scores = Array.from({length: 10}, (_, index) => {
+			const requestId = `request-${index}`;
+			const now = index * 10_000;
+			const decision = router.decide(facts({requestId, deadline: now + 20_000}), now);
+			router.observe({kind: 'sent', requestId, upstream: 'llm-1'}, now);
+			router.observe({kind: 'first-token', requestId}, now + 4);
+			router.observe({
+				kind: 'ended', requestId, outcome: 'finished', usage: undefined,
+			}, now + 20);
+			return decision.kind === 'send' ? decision.score : Number.NaN;
+		});
+
+		t.true(scores.at(-1)! < scores[0]! / 2, `scores stayed at ${scores.join(', ')}`);
+	});
+}
--- a/src/routing/fleet-view.ts
+++ b/src/routing/fleet-view.ts
@@ -190,15 +190,20 @@
 		const upstreams = [...this.#upstreams.values()];
 		for (const upstream of upstreams) {
 			if (!this.#views.has(upstream.name)) {
-				const pool = [...this.#pools.values()].find(({pool: candidate}) => belongs(candidate, upstream));
-				this.#views.set(upstream.name, new LoadView(upstream.name, pool?.rate ?? new RateLearning()));
+				this.#views.set(upstream.name, new LoadView(upstream.name, new RateLearning()));
 			}
 		}
 
 		const open = upstreams.filter(upstream => this.isOpen(upstream));
 		this.#selection = new Selection(this.#configuration, open);
 		for (const pool of this.#pools.values()) {
-			pool.setMembers(open.filter(upstream => belongs(pool.pool, upstream)).map(({name}) => this.#views.get(name)!));
+			const members = open.filter(upstream => belongs(pool.pool, upstream)).map(({name}) => this.#views.get(name)!);
+			for (const view of members) {
+				// An upstream may have been known before its pool was.
+				view.joinPool(pool.rate);
+			}
+
+			pool.setMembers(members);
 		}
 	}
 
--- a/src/upstream/load-view.ts
+++ b/src/upstream/load-view.ts
@@ -42,7 +42,7 @@
 /** Load of one upstream. */
 export class LoadView {
 	readonly name: string;
-	readonly #rate: RateLearning;
+	#rate: RateLearning;
 	readonly #inFlight = new Map<string, InFlight>();
 	/** Those whose first token has not come, in the order sent. */
 	readonly #prefilling = new Map<string, InFlight>();
@@ -61,10 +61,16 @@
 		this.#rate = rate;
 	}
 
+	/** What is learnt of the engine's speed, together with the others of its pool. */
 	get rate(): RateLearning {
 		return this.#rate;
 	}
 
+	/** Learns together with the engines of a pool from now on. */
+	joinPool(rate: RateLearning): void {
+		this.#rate = rate;
+	}
+
 	/** Requests of this instance at the upstream. */
 	get inFlight(): number {
 		return this.#inFlight.size;
