fix(routing): do not take the fixed delay of a very short prompt for the speed of long ones

Cause: once engines learnt with their pool, the binary's test had its second prompt refused: the first one, of 18 tokens on a cold process, had taught a time per token hundreds of times too high, which was carried over to all lengths. Change: a sample is weighed against the work of at least the smallest bucket, and what prompts below 512 tokens take above the assumed time is carried over as a delay, not as a factor. Ruled out: ignoring short prompts, which may be all that an engine gets; the deadline's check, which refused rightly by what it was told.

--- a/src/upstream/__tests__/rate-learning.test.ts
+++ b/src/upstream/__tests__/rate-learning.test.ts
@@ -39,3 +39,10 @@
 		t.true(expected(rate.blocking));
 	});
 }
+
+test('the fixed delay of a very short prompt is not taken for the speed of long ones', t => {
+	const untaught = new RateLearning();
+	const rate = new RateLearning();
+	rate.observePrefill(18, 0, 100);
+	t.true(rate.prefillTime(40_000) <= untaught.prefillTime(40_000) + 100, `expected ${rate.prefillTime(40_000)} ms`);
+});
--- a/src/upstream/rate-learning.ts
+++ b/src/upstream/rate-learning.ts
@@ -8,6 +8,9 @@
 const bucketCount = 29;
 const firstBucketPower = 7;
 
+/** First bucket whose time is mostly that of its tokens: 2^9 tokens. */
+const firstProportionalBucket = 4;
+
 /** Milliseconds per token assumed for short prompts before the first observation. */
 const initialTimePerToken = 0.02;
 
@@ -53,11 +56,13 @@
 
 	/** Takes in the time to first token of a request that found its engine without other prefill. */
 	observePrefill(tokens: number, cached: number, time: number): void {
-		const assumed = assumedTime(tokens) - assumedTime(Math.min(cached, tokens));
-		if (assumed <= 0) {
+		if (tokens <= cached) {
 			return;
 		}
 
+		// Below the smallest bucket, most of the time is a fixed delay and says nothing of the speed.
+		const assumed = Math.max(assumedTime(tokensOf(0)), assumedTime(tokens) - assumedTime(cached));
+
 		const bucket = bucketOf(tokens);
 		const known = this.#observed[bucket]!;
 		const sample = Number.isNaN(known) ? time / assumed : Math.min(time / assumed, known * largestExcess);
@@ -82,7 +87,7 @@
 			const longer = this.#observed[bucket + distance];
 			const shorter = this.#observed[bucket - distance];
 			if (shorter !== undefined && !Number.isNaN(shorter)) {
-				return shorter;
+				return carriedOver(shorter, bucket - distance, bucket);
 			}
 
 			if (longer !== undefined && !Number.isNaN(longer)) {
@@ -94,6 +99,22 @@
 	}
 }
 
+/**
+ * Ratio for a bucket that nothing was observed of, from a shorter one. What a very short prompt takes above the
+ * assumed time is a fixed delay, of which a longer one has as much.
+ */
+function carriedOver(ratio: number, from: number, to: number): number {
+	if (from >= firstProportionalBucket || ratio <= 1) {
+		return ratio;
+	}
+
+	return 1 + ((ratio - 1) * assumedTime(tokensOf(from)) / assumedTime(tokensOf(to)));
+}
+
+function tokensOf(bucket: number): number {
+	return 2 ** (firstBucketPower + (bucket / 2));
+}
+
 function assumedTime(tokens: number): number {
 	return initialTimePerToken * tokens * (1 + (tokens / (2 * doublingContext)));
 }
