--- a/src/__tests__/bad-input.test.ts
+++ b/src/__tests__/bad-input.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import {request} from 'undici';
 import {z} from 'zod';
-import {chatBody} from './support/client.js';
+import {ask, chatBody} from './support/client.js';
 import {ProcessFleet, testKey} from './support/processes.js';
 
 const errorShape = z.object({
@@ -112,3 +112,12 @@
 	t.is(response.statusCode, 404);
 	await response.body.dump();
 });
+
+test.serial('an answer counts its first token in the metrics', async t => {
+	const entry = fleet.entries[0]!;
+	const answered = await ask(entry.callers, {content: 'hello'});
+	t.is(answered.status, 200);
+	const metrics = await request(`http://${entry.operators}/metrics`);
+	const text = await metrics.body.text();
+	t.true(text.includes('carobquay_first_token_seconds_count{class="question"} 1\n'), 'no first token was counted');
+});
--- a/src/entry/callers.ts
+++ b/src/entry/callers.ts
@@ -33,6 +33,7 @@
 } from './facts.js';
 import type {RequestGate} from './request-gate.js';
 import {ResponseWriter} from './response-writer.js';
+import {TimedAnswer} from './timed-answer.js';
 
 /** What is in force when a request arrives. */
 export type InForce = {configuration: Configuration; keys: KeyRing};
@@ -130,7 +131,9 @@
 			}
 
 			const life = this.#begin(arrival, requestClass);
-			const answer = chatAnswer(arrival, summary, this.#options.limits.silence);
+			const answer = new TimedAnswer(chatAnswer(arrival, summary, this.#options.limits.silence), () => {
+				this.#options.metrics.firstToken(requestClass.name, performance.now() - arrival.arrivedAt);
+			});
 			const content = ['chat', ...body.chunks];
 			await this.#runToEnd({arrival, life, fail: async error => answer.fail(error)}, async signals => {
 				await this.#options.requests.prompt({life, content, ...signals}, {body: body.chunks, facts: promptFacts(life, summary)}, answer);
