--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -1,5 +1,5 @@
 /**
- * Bundles the command line and its worker threads into dist/.
+ * Bundles the command line and its worker threads into a folder, dist/ unless another one is named.
  *
  * @module
  */
@@ -7,11 +7,13 @@
 import {build} from 'esbuild';
 import packageManifest from '../package.json' with {type: 'json'};
 
+const folder = process.argv[2] ?? 'dist';
+
 await build({
 	entryPoints: {
 		carobquay: 'src/cli.ts',
 	},
-	outdir: 'dist',
+	outdir: folder,
 	outExtension: {'.js': '.cjs'},
 	bundle: true,
 	platform: 'node',
@@ -22,4 +24,4 @@
 	external: ['cbor-extract'],
 	logLevel: 'warning',
 });
-process.stdout.write('built dist/carobquay.cjs\n');
+process.stdout.write(`built ${folder}/carobquay.cjs\n`);
--- a/src/cli.ts
+++ b/src/cli.ts
@@ -9,6 +9,7 @@
 import type {AuditOptions} from './commands/audit.js';
 import type {CheckOptions} from './commands/check.js';
 import type {ExplainOptions} from './commands/explain.js';
+import type {FrontOptions} from './commands/front.js';
 import type {GetOptions} from './commands/get.js';
 import type {ServeOptions} from './commands/serve.js';
 import type {StartOptions} from './commands/start.js';
@@ -111,6 +112,14 @@
 		await audit(options);
 	});
 
+examples(program.command('front'), 'front', 'front --log-level debug')
+	.description('run an instance on the platform, with the settings that the platform gives it')
+	.option('--log-level <level>', 'least level of log lines: debug, info, warn or error', 'info')
+	.action(async (options: FrontOptions) => {
+		const {front} = await import('./commands/front.js');
+		await front(options);
+	});
+
 examples(program.command('stand-in <kind>'), 'stand-in engine --port 7101', 'stand-in table --port 7001')
 	.description('run a small stand-in of an outside system: engine, service, table, objects, instances, weights')
 	.option('--host <ip>', 'IP number to listen on', '127.0.0.1')
--- /dev/null
+++ b/src/commands/front.ts
@@ -0,0 +1,92 @@
+/**
+ * `carobquay front`: runs one instance on the platform until it is told to stop.
+ *
+ * @module
+ */
+import {Buffer} from 'node:buffer';
+import process from 'node:process';
+import {decodeConfiguration} from '../../platform/configuration.js';
+import {PlatformEngineOrders} from '../../platform/engine-orders.js';
+import {decodeEngineRow, decodeRowValue} from '../../platform/engine-row.js';
+import {PlatformProtocol} from '../../platform/protocol.js';
+import {loadPlatformSettings, settingsPath} from '../../platform/settings.js';
+import {StoreClient} from '../../platform/store-client.js';
+import {configurationRow, engineTable, instanceTable} from '../../platform/tables.js';
+import {errorMessage} from '../errors/errors.js';
+import {ServingInstance} from '../serving/serving-instance.js';
+import {descriptorSink, LineWriter} from '../telemetry/line-writer.js';
+import {EventLog, type LogLevel} from '../telemetry/log.js';
+import {exitCodes} from './exit-codes.js';
+
+/** Options of the command. */
+export type FrontOptions = {
+	/**
+	 * Least level of log lines.
+	 * @default 'info'
+	 */
+	logLevel: LogLevel;
+};
+
+/** Time in milliseconds to write the last log lines. */
+const lastLines = 200;
+
+/** Runs the instance; the process ends when it has stopped. */
+export async function front({logLevel}: FrontOptions): Promise<void> {
+	const writer = new LineWriter(descriptorSink(1));
+	const log = new EventLog({
+		level: logLevel,
+		write(line, level) {
+			writer.write(line, level === 'warn' || level === 'error');
+		},
+	});
+	const path = settingsPath();
+	const settings = await loadPlatformSettings(path);
+	const instance = new ServingInstance({
+		...settings,
+		metrics: undefined,
+		peerPort: settings.internalPorts.first,
+		store: new StoreClient(settings.store),
+		tables: {
+			configuration: {...configurationRow, decode: value => decodeConfiguration(decodeRowValue(value))},
+			engines: {table: engineTable, decode: decodeEngineRow},
+			instances: {table: instanceTable, decode: value => Buffer.from(value, 'base64').toString('utf8')},
+		},
+		protocol: new PlatformProtocol(),
+		orders: new PlatformEngineOrders(),
+		log: log.with({instance: settings.instance}),
+		linesDropped: () => writer.dropped,
+	});
+	let isStopping = false;
+	const stop = async (signal: NodeJS.Signals) => {
+		if (isStopping) {
+			return;
+		}
+
+		isStopping = true;
+		log.info('instance.signal', {instance: settings.instance, signal});
+		await instance.stop();
+		await writer.flush(lastLines);
+		process.exit(exitCodes.success); // eslint-disable-line unicorn/no-process-exit
+	};
+
+	process.on('SIGTERM', signal => {
+		void stop(signal);
+	});
+	process.on('SIGINT', signal => {
+		void stop(signal);
+	});
+	process.on('SIGHUP', () => {
+		void reload(path, settings, log);
+	});
+	await instance.start();
+}
+
+/** Reads the settings again and tells what would change; addresses and names are those of the start. */
+async function reload(path: string, before: Record<string, unknown>, log: EventLog): Promise<void> {
+	try {
+		const after = await loadPlatformSettings(path);
+		log.info('instance.reloaded', {changed: JSON.stringify(after) !== JSON.stringify(before)});
+	} catch (error) {
+		log.error('instance.reload-failed', {reason: errorMessage(error)});
+	}
+}
--- a/src/errors/catalogue.ts
+++ b/src/errors/catalogue.ts
@@ -58,6 +58,9 @@
 	1011: {
 		status: 422, name: 'key-reused', ran: 'no', mend: 'Use a new idempotency key for a request with another body.',
 	},
+	1012: {
+		status: 408, name: 'body-late', ran: 'no', mend: 'Send the whole body within the deadline.',
+	},
 	// Who is asking.
 	2001: {
 		status: 401, name: 'bad-credentials', ran: 'no', mend: 'Send a key of a declared customer as "Authorization: Bearer KEY".',
@@ -140,6 +143,9 @@
 	5007: {
 		status: 503, name: 'weights-unavailable', ran: 'no', retryAfter: 2000, mend: 'Ask again after the time given.',
 	},
+	5008: {
+		status: 503, name: 'configuration-unknown', ran: 'no', retryAfter: 500, mend: 'Ask again after the time given; this instance has just started.',
+	},
 	5900: {
 		status: 500, name: 'unexpected', ran: 'unknown', mend: 'Report the log lines of this request id.',
 	},
--- /dev/null
+++ b/src/peers/news.ts
@@ -0,0 +1,134 @@
+/**
+ * What instances tell each other of their work: one datagram of CBOR, arrays led by a number.
+ *
+ * @module
+ */
+import {Encoder} from 'cbor-x';
+import type {Placement} from '../placement/load-book.js';
+
+/** Version of the messages. */
+const version = 1;
+
+/** Greatest number of entries in each part of a message that is taken in. */
+const maximumEntries = 500;
+
+const codec = new Encoder({useRecords: false, tagUint8Array: false, mapsAsObjects: true});
+
+/** News of one instance. Everything in it may be lost or come twice. */
+export type News = {
+	/** Name and start of the sender; begins the keys of its placements. */
+	origin: string;
+	/** Version of the configuration that is in force there. */
+	configuration: number;
+	/** Sum over the engines that it knows, to compare with one's own. */
+	engines: number;
+	/** Whether the sender asks for an answer, because it has just begun or lost touch. */
+	asks: boolean;
+	placed: readonly Placement[];
+	began: readonly string[];
+	ended: readonly string[];
+	avoided: ReadonlyArray<{engineId: string; duration: number}>;
+	paced: ReadonlyArray<{engineId: string; pace: number}>;
+	/** Addresses of other instances. */
+	peers: readonly string[];
+};
+
+/** A gap target of no stream. */
+const noGap = -1;
+
+/** @param now - Monotonic time in milliseconds, which times in the message count from. */
+export function encodeNews(news: News, now: number): Uint8Array {
+	const prefix = news.origin.length + 1;
+	return codec.encode([
+		version,
+		news.origin,
+		news.configuration,
+		news.engines,
+		news.asks,
+		news.placed.map(({key, parts, gapTarget, weight, expiresAt}) => [
+			Number(key.slice(prefix)),
+			Number.isFinite(gapTarget) ? gapTarget : noGap,
+			Math.round(weight * 10) / 10,
+			Math.round(expiresAt - now),
+			parts.map(({engineId, reading, memory, writes}) => [engineId, Math.round(reading), Math.round(memory), writes]),
+		]),
+		news.began.map(key => Number(key.slice(prefix))),
+		news.ended.map(key => Number(key.slice(prefix))),
+		news.avoided.map(({engineId, duration}) => [engineId, Math.round(duration)]),
+		news.paced.map(({engineId, pace}) => [engineId, Math.round(pace * 10) / 10]),
+		news.peers,
+	]);
+}
+
+/** A datagram is no message of this version. */
+export class NewsError extends Error {
+	constructor(reason: string) {
+		super(`datagram of a peer cannot be read: ${reason}`);
+		this.name = 'NewsError';
+	}
+}
+
+/** @throws {NewsError} Where the bytes are no message of this version. */
+export function decodeNews(bytes: Uint8Array, now: number): News {
+	try {
+		const [found, origin, configuration, engines, asks, placed, began, ended, avoided, paced, peers] = list(codec.decode(bytes));
+		if (found !== version) {
+			throw new NewsError(`version ${String(found)}`);
+		}
+
+		const sender = text(origin);
+		return {
+			origin: sender,
+			configuration: number(configuration),
+			engines: number(engines),
+			asks: asks === true,
+			placed: list(placed).map(entry => decodePlacement(sender, list(entry), now)),
+			began: list(began).map(sequence => `${sender}/${number(sequence)}`),
+			ended: list(ended).map(sequence => `${sender}/${number(sequence)}`),
+			avoided: list(avoided).map(entry => ({engineId: text(list(entry)[0]), duration: number(list(entry)[1])})),
+			paced: list(paced).map(entry => ({engineId: text(list(entry)[0]), pace: number(list(entry)[1])})),
+			peers: list(peers).map(peer => text(peer)),
+		};
+	} catch (error) {
+		throw error instanceof NewsError ? error : new NewsError(String(error));
+	}
+}
+
+function decodePlacement(origin: string, [sequence, gapTarget, weight, lifetime, parts]: readonly unknown[], now: number): Placement {
+	return {
+		key: `${origin}/${number(sequence)}`,
+		gapTarget: number(gapTarget) === noGap ? Number.POSITIVE_INFINITY : number(gapTarget),
+		weight: number(weight),
+		expiresAt: now + number(lifetime),
+		parts: list(parts).map(part => {
+			const [engineId, reading, memory, writes] = list(part);
+			return {
+				engineId: text(engineId), reading: number(reading), memory: number(memory), writes: writes === true,
+			};
+		}),
+	};
+}
+
+function list(value: unknown): readonly unknown[] {
+	if (!Array.isArray(value) || value.length > maximumEntries) {
+		throw new NewsError('a list is missing or too long');
+	}
+
+	return value;
+}
+
+function text(value: unknown): string {
+	if (typeof value !== 'string' || value === '') {
+		throw new NewsError('a text is missing');
+	}
+
+	return value;
+}
+
+function number(value: unknown): number {
+	if (typeof value !== 'number' || !Number.isFinite(value)) {
+		throw new NewsError('a number is missing');
+	}
+
+	return value;
+}
--- /dev/null
+++ b/src/peers/peer-news.ts
@@ -0,0 +1,294 @@
+/**
+ * Tells the other instances what this one does, and takes in what they tell.
+ *
+ * The task owns its socket. Placements go out at once, everything else is gathered for a moment. Each message counts as
+ * a heartbeat.
+ *
+ * @module
+ */
+import dgram from 'node:dgram';
+import {performance} from 'node:perf_hooks';
+import {errorMessage} from '../errors/errors.js';
+import type {EngineReputation} from '../placement/engine-reputation.js';
+import type {LoadBook, Placement} from '../placement/load-book.js';
+import type {PlacementNews} from '../placement/placement-desk.js';
+import type {EventLog} from '../telemetry/log.js';
+import {decodeNews, encodeNews, type News} from './news.js';
+
+/** Times in milliseconds for which placements and all other news are gathered. */
+const placementGather = 1;
+const otherGather = 25;
+
+/** Time in milliseconds between two heartbeats. */
+const heartbeatInterval = 1000;
+
+/** Peers that one heartbeat goes to. */
+const heartbeatPeers = 8;
+
+/** Heartbeats without any message after which a peer's work is forgotten, and after which the peer is. */
+const silentHeartbeats = 4;
+const goneHeartbeats = 15;
+
+/** Peers named in an answer to one that asks. */
+const namedPeers = 24;
+
+/** What is told of this instance with every message. */
+export type OwnState = {
+	configuration: number;
+	engines: number;
+};
+
+/** What the task works with. */
+export type PeerNewsOptions = {
+	ip: string;
+	/** Port of all instances. */
+	port: number;
+	/** Name and start of this instance. */
+	origin: string;
+	book: LoadBook;
+	reputation: EngineReputation;
+	log: EventLog;
+	own: () => OwnState;
+	/** Told of each message. */
+	onState: (ip: string, state: OwnState) => void;
+};
+
+type Peer = {
+	ip: string;
+	origin: string;
+	heardAt: number;
+	isSilent: boolean;
+};
+
+/** News between this instance and the others. */
+export class PeerNews implements PlacementNews {
+	readonly #options: PeerNewsOptions;
+	readonly #socket = dgram.createSocket('udp4');
+	readonly #peers = new Map<string, Peer>();
+	/** Addresses that have not answered yet, with the number of times that they were asked. */
+	readonly #asked = new Map<string, number>();
+	#placed: Placement[] = [];
+	#began: string[] = [];
+	#ended: string[] = [];
+	#avoided: Array<{engineId: string; duration: number}> = [];
+	#paced: Array<{engineId: string; pace: number}> = [];
+	#timer: NodeJS.Timeout | undefined;
+	#isUrgent = false;
+	#heartbeat: NodeJS.Timeout | undefined;
+	#next = 0;
+
+	constructor(options: PeerNewsOptions) {
+		this.#options = options;
+	}
+
+	/** Peers heard of lately. */
+	get size(): number {
+		return this.#peers.size;
+	}
+
+	/** Addresses of peers heard of lately. */
+	get addresses(): string[] {
+		return [...this.#peers.keys()];
+	}
+
+	async start(): Promise<void> {
+		const {ip, port, log} = this.#options;
+		this.#socket.on('message', (bytes, {address}) => {
+			this.#receive(bytes, address);
+		});
+		this.#socket.on('error', error => {
+			log.error('peers.socket-failed', {reason: error.message});
+		});
+		await new Promise<void>(resolve => {
+			this.#socket.bind(port, ip, resolve);
+		});
+		this.#heartbeat = setInterval(() => {
+			this.#beat();
+		}, heartbeatInterval);
+	}
+
+	close(): void {
+		clearInterval(this.#heartbeat);
+		clearTimeout(this.#timer);
+		this.#socket.close();
+	}
+
+	/** Asks other instances for an answer, so that both know each other. */
+	ask(addresses: readonly string[]): void {
+		for (const address of addresses) {
+			if (address !== this.#options.ip && !this.#peers.has(address) && !this.#asked.has(address)) {
+				this.#asked.set(address, 1);
+				this.#sendTo([address], {asks: true});
+			}
+		}
+	}
+
+	placed(placement: Placement): void {
+		this.#placed.push(placement);
+		this.#plan(true);
+	}
+
+	began(key: string): void {
+		this.#began.push(key);
+		this.#plan(false);
+	}
+
+	ended(key: string): void {
+		this.#ended.push(key);
+		this.#plan(false);
+	}
+
+	avoids(engineId: string, duration: number): void {
+		this.#avoided.push({engineId, duration});
+		this.#plan(true);
+	}
+
+	paced(engineId: string, pace: number): void {
+		this.#paced.push({engineId, pace});
+		this.#plan(false);
+	}
+
+	#plan(isUrgent: boolean): void {
+		if (this.#timer && (this.#isUrgent || !isUrgent)) {
+			return;
+		}
+
+		clearTimeout(this.#timer);
+		this.#isUrgent = isUrgent;
+		this.#timer = setTimeout(() => {
+			this.#timer = undefined;
+			this.#flush();
+		}, isUrgent ? placementGather : otherGather);
+	}
+
+	#flush(): void {
+		const news = {
+			placed: this.#placed, began: this.#began, ended: this.#ended, avoided: this.#avoided, paced: this.#paced,
+		};
+		this.#placed = [];
+		this.#began = [];
+		this.#ended = [];
+		this.#avoided = [];
+		this.#paced = [];
+		this.#sendTo([...this.#peers.keys()], news);
+	}
+
+	#sendTo(addresses: readonly string[], parts: Partial<News>): void {
+		if (addresses.length === 0) {
+			return;
+		}
+
+		const {origin, own, port, log} = this.#options;
+		const bytes = encodeNews({
+			origin, ...own(), asks: false, placed: [], began: [], ended: [], avoided: [], paced: [], peers: [], ...parts,
+		}, performance.now());
+		for (const address of addresses) {
+			this.#socket.send(bytes, port, address, error => {
+				if (error) {
+					log.debug('peers.send-failed', {peer: address, reason: error.message});
+				}
+			});
+		}
+	}
+
+	#beat(): void {
+		const now = performance.now();
+		this.#options.book.expire(now);
+		this.#dropSilent(now);
+		const all = [...this.#peers.keys()];
+		const turn = Math.min(heartbeatPeers, all.length);
+		this.#sendTo(Array.from({length: turn}, (_, index) => all[(this.#next + index) % all.length]!), {});
+		this.#next = all.length === 0 ? 0 : (this.#next + turn) % all.length;
+		for (const [address, times] of this.#asked) {
+			if (times >= goneHeartbeats) {
+				this.#asked.delete(address);
+			} else {
+				this.#asked.set(address, times + 1);
+				this.#sendTo([address], {asks: true});
+			}
+		}
+	}
+
+	/** Heartbeats go round, so that the time to hear from a peer grows with the number of peers. */
+	#dropSilent(now: number): void {
+		const round = heartbeatInterval * Math.max(1, Math.ceil(this.#peers.size / heartbeatPeers));
+		for (const peer of this.#peers.values()) {
+			const silence = now - peer.heardAt;
+			if (silence > round * silentHeartbeats && !peer.isSilent) {
+				peer.isSilent = true;
+				this.#options.book.endAllOf(`${peer.origin}/`, now);
+				this.#options.log.warn('peer.silent', {peer: peer.ip, origin: peer.origin, silence: Math.round(silence)});
+			}
+
+			if (silence > round * goneHeartbeats) {
+				this.#peers.delete(peer.ip);
+				this.#options.log.info('peer.gone', {peer: peer.ip, origin: peer.origin});
+			}
+		}
+	}
+
+	#receive(bytes: Uint8Array, ip: string): void {
+		const now = performance.now();
+		try {
+			const news = decodeNews(bytes, now);
+			this.#heard(ip, news, now);
+			this.#take(news, now);
+			this.#options.onState(ip, news);
+			if (news.asks) {
+				this.#sendTo([ip], {peers: [...this.#peers.keys()].slice(0, namedPeers)});
+			}
+
+			this.ask(news.peers);
+		} catch (error) {
+			this.#options.log.warn('peers.unreadable', {peer: ip, bytes: bytes.length, reason: errorMessage(error)});
+		}
+	}
+
+	#heard(ip: string, {origin}: News, now: number): void {
+		this.#asked.delete(ip);
+		const peer = this.#peers.get(ip);
+		if (!peer) {
+			this.#peers.set(ip, {
+				ip, origin, heardAt: now, isSilent: false,
+			});
+			this.#options.log.info('peer.known', {peer: ip, origin, peers: this.#peers.size});
+			return;
+		}
+
+		if (peer.origin !== origin) {
+			this.#options.book.endAllOf(`${peer.origin}/`, now);
+			this.#options.log.info('peer.restarted', {peer: ip, origin, before: peer.origin});
+			peer.origin = origin;
+		}
+
+		if (peer.isSilent) {
+			this.#options.log.info('peer.regained', {peer: ip, origin});
+		}
+
+		peer.heardAt = now;
+		peer.isSilent = false;
+	}
+
+	#take({placed, began, ended, avoided, paced}: News, now: number): void {
+		const {book, reputation} = this.#options;
+		for (const placement of placed) {
+			book.place(placement, now);
+		}
+
+		for (const key of began) {
+			book.begin(key, now);
+		}
+
+		for (const key of ended) {
+			book.end(key, now);
+		}
+
+		for (const {engineId, duration} of avoided) {
+			reputation.avoid(engineId, duration, now);
+		}
+
+		for (const {engineId, pace} of paced) {
+			reputation.observePace(engineId, pace, now);
+		}
+	}
+}
--- /dev/null
+++ b/src/placement/placement-desk.ts
@@ -0,0 +1,135 @@
+/**
+ * Where placements are decided, recorded and told to the other instances.
+ *
+ * @module
+ */
+import {performance} from 'node:perf_hooks';
+import type {EngineCost, EngineRecord, Service} from '../serving/model.js';
+import type {EngineReputation} from './engine-reputation.js';
+import type {LoadBook, Placement} from './load-book.js';
+import {
+	placePrompt, type PromptCandidate, type PromptDecision, type PromptTerms,
+} from './prompt-placement.js';
+import {placeServiceRequest} from './service-placement.js';
+
+/** Engines that take new work. */
+export interface EngineSource {
+	ready(service: string): readonly EngineRecord[];
+}
+
+/** Told what this instance did, to tell the others. */
+export interface PlacementNews {
+	placed(placement: Placement): void;
+	began(key: string): void;
+	ended(key: string): void;
+	/** An engine failed a request and is avoided for some milliseconds. */
+	avoids(engineId: string, duration: number): void;
+	/** An engine is slower than published. */
+	paced(engineId: string, pace: number): void;
+}
+
+/** What the desk works with. */
+export type PlacementDeskOptions = {
+	engines: EngineSource;
+	book: LoadBook;
+	reputation: EngineReputation;
+	news: PlacementNews;
+	failureDomain: string;
+	/** Begins the keys of this instance's placements; differs for each start of a process. */
+	origin: string;
+	/** @default Math.random */
+	random?: () => number;
+};
+
+/** Time in milliseconds after a request's deadline until which its placement may still be ended. */
+const expiryMargin = 1000;
+
+/** Least change of an engine's pace that the others are told of. */
+const paceStep = 0.3;
+
+/** Placements of one instance. */
+export class PlacementDesk {
+	readonly #options: PlacementDeskOptions;
+	readonly #random: () => number;
+	readonly #toldPace = new Map<string, number>();
+	#sequence = 0;
+
+	constructor(options: PlacementDeskOptions) {
+		this.#options = options;
+		this.#random = options.random ?? Math.random;
+	}
+
+	/** Decides where a prompt goes, passing over some engines. */
+	decidePrompt(service: Service, cost: EngineCost, terms: PromptTerms, excluded: ReadonlySet<string>): PromptDecision & {candidates: number} {
+		const now = performance.now();
+		const {book, reputation, failureDomain} = this.#options;
+		const candidates = this.#candidates(service, excluded).map((record): PromptCandidate => ({
+			record,
+			load: book.view(record.id, now),
+			pace: reputation.pace(record.id, now),
+			isAvoided: reputation.isAvoided(record.id, now),
+			inOwnDomain: record.failureDomain === failureDomain,
+		}));
+		return {...placePrompt(terms, cost, candidates), candidates: candidates.length};
+	}
+
+	/** The engine for a request without a prompt; undefined where there is none. */
+	decideService(service: Service, excluded: ReadonlySet<string>): {record: EngineRecord; running: number; candidates: number} | undefined {
+		const now = performance.now();
+		const {book, reputation, failureDomain} = this.#options;
+		const candidates = this.#candidates(service, excluded).map(record => ({
+			record,
+			running: book.view(record.id, now).running,
+			isAvoided: reputation.isAvoided(record.id, now),
+			inOwnDomain: record.failureDomain === failureDomain,
+		}));
+		const chosen = placeServiceRequest(candidates, this.#random);
+		return chosen && {record: chosen.record, running: chosen.running, candidates: candidates.length};
+	}
+
+	/** Records a placement. @param remaining - Time in milliseconds that the request has left. */
+	place(parts: Placement['parts'], {gapTarget, weight, remaining}: {gapTarget: number; weight: number; remaining: number}): string {
+		const now = performance.now();
+		this.#sequence += 1;
+		const placement: Placement = {
+			key: `${this.#options.origin}/${this.#sequence}`, parts, gapTarget, weight, expiresAt: now + remaining + expiryMargin,
+		};
+		this.#options.book.place(placement, now);
+		this.#options.news.placed(placement);
+		return placement.key;
+	}
+
+	/** The first event has come. */
+	begin(key: string): void {
+		this.#options.book.begin(key, performance.now());
+		this.#options.news.began(key);
+	}
+
+	end(key: string): void {
+		this.#options.book.end(key, performance.now());
+		this.#options.news.ended(key);
+	}
+
+	/** An engine failed a request by its own fault. */
+	failed(engineId: string): void {
+		const duration = this.#options.reputation.failed(engineId, performance.now());
+		this.#options.news.avoids(engineId, duration);
+	}
+
+	/** An engine took some factor of the expected time between two events. */
+	observePace(engineId: string, factor: number): void {
+		const now = performance.now();
+		this.#options.reputation.observePace(engineId, factor, now);
+		const pace = this.#options.reputation.pace(engineId, now);
+		if (Math.abs(pace - (this.#toldPace.get(engineId) ?? 1)) >= paceStep) {
+			this.#toldPace.set(engineId, pace);
+			this.#options.news.paced(engineId, pace);
+		}
+	}
+
+	/** Engines of a service, without excluded ones as long as others are left. */
+	#candidates(service: Service, excluded: ReadonlySet<string>): readonly EngineRecord[] {
+		const ready = this.#options.engines.ready(service.name);
+		return excluded.size === 0 ? ready : ready.filter(({id}) => !excluded.has(id));
+	}
+}
--- /dev/null
+++ b/src/placement/prompt-placement.ts
@@ -0,0 +1,282 @@
+/**
+ * Chooses the engines that read a prompt and the one that writes its answer.
+ *
+ * Every choice is weighed by what it makes late: the prompt itself, and the answers that wait while an engine reads.
+ * Short prompts gather on the engines that come first in a common order, long ones begin at its end and are read in
+ * parts, so that the two disturb each other only where the fleet is full.
+ *
+ * @module
+ */
+import type {EngineCost, EngineRecord} from '../serving/model.js';
+import {engineOrder} from './engine-order.js';
+import type {EngineLoadView, Writer} from './load-book.js';
+import {passTime, readingTime} from './reading-time.js';
+
+/** Reading time in milliseconds that gives a prompt the weight of one more short prompt. */
+const weightedReading = 180;
+
+/** Shares of the target between which a first event goes from surely on time to surely late. */
+const surelyOnTime = 0.45;
+const surelyLate = 1.05;
+
+/** What being later still costs, for a whole deadline, relative to being late. */
+const laterStill = 0.25;
+
+/** Shares of a pause's target between which a writer goes from undisturbed to disturbed. */
+const undisturbed = 0.75;
+const disturbed = 1.05;
+
+/** What one more engine costs, relative to the prompt's being late: each one may fail the whole reading. */
+const engineRisk = 0.006;
+
+/** What an engine that failed of late costs, relative to the prompt's being late. */
+const avoidedCost = 1.5;
+
+/** Cost that keeps the common order where all else is equal, for the whole order. */
+const orderCost = 0.02;
+
+/** Reading time in milliseconds from which a prompt is read from the end of the order and may be divided. */
+export const longReading = 150;
+
+/** Numbers of engines that are weighed for one prompt; the protocol allows 16 beside the first. */
+const divisions: readonly number[] = [1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17];
+
+/** Passes until the first event of a prompt that is read: the one under way and its own. */
+const passesToFirstEvent = 1.5;
+
+/** Places of an engine that are left free for requests that other instances are placing now. */
+const spareSlots = 1;
+
+/** Time in milliseconds that a request waits for a place of a full engine, for each request over its places. */
+const fullWait = 300;
+
+/** Share of an engine's memory that may be promised. */
+const memoryShare = 0.97;
+
+/** Callers give up a stream after the longest of this time in milliseconds and these factors on its targets, by the protocol. */
+const shortestPatience = 2000;
+const patienceOfTarget = 4;
+const patienceOfGap = 8;
+
+/** What is asked of a prompt. */
+export type PromptTerms = {
+	promptTokens: number;
+	answerTokens: number;
+	target: number;
+	gapTarget: number;
+	/** Time that is left of the request. */
+	remaining: number;
+};
+
+/** One engine that may be chosen. */
+export type PromptCandidate = {
+	record: EngineRecord;
+	load: EngineLoadView;
+	/** Factor on its published times. */
+	pace: number;
+	isAvoided: boolean;
+	inOwnDomain: boolean;
+};
+
+/** An engine that reads a part of the prompt. */
+export type Reader = {
+	record: EngineRecord;
+	/** Tokens of its memory that the request reserves; 0 where it only reads. */
+	reserve: number;
+};
+
+/** Where a prompt goes. */
+export type PromptDecision = {
+	kind: 'place';
+	first: EngineRecord;
+	/** Tokens that the first engine's memory takes. */
+	firstMemory: number;
+	readers: readonly Reader[];
+	/** Time that each of the engines reads. */
+	reading: number;
+	/** Expected time to the first event. */
+	expected: number;
+	weight: number;
+	loss: number;
+} | {
+	kind: 'refuse';
+	reason: 'no-engine' | 'too-late' | 'does-not-fit';
+	/** Time after which asking again makes sense. */
+	retryAfter: number;
+};
+
+type Place = Extract<PromptDecision, {kind: 'place'}>;
+
+/** Least Retry-After in milliseconds; work placed meanwhile is known by then. */
+const shortestRetry = 100;
+
+/** Longest time in milliseconds until the first event, or between events, that a caller stays for. */
+export function patience({target, gapTarget}: {target: number; gapTarget: number}): number {
+	return Math.max(shortestPatience, patienceOfTarget * target, Number.isFinite(gapTarget) ? patienceOfGap * gapTarget : 0);
+}
+
+/** Decides where a prompt goes, or that it cannot be served in time. */
+export function placePrompt(terms: PromptTerms, cost: EngineCost, candidates: readonly PromptCandidate[]): PromptDecision {
+	const whole = readingTime(cost, terms.promptTokens);
+	const weight = 1 + (whole / weightedReading);
+	const prompt: Prompt = {
+		...terms, whole, weight, cost, memory: terms.promptTokens + terms.answerTokens,
+	};
+	let best: Place | undefined;
+	for (const count of divisions) {
+		if (count > candidates.length || (count > 1 && whole < longReading)) {
+			break;
+		}
+
+		const place = divide(prompt, candidates, count);
+		if (place && (best === undefined || place.loss < best.loss)) {
+			best = place;
+		}
+	}
+
+	if (best === undefined) {
+		return {kind: 'refuse', reason: candidates.length === 0 ? 'no-engine' : 'does-not-fit', retryAfter: retryAfter(terms, shortestPatience)};
+	}
+
+	const limit = Math.min(patience(terms), terms.remaining);
+	if (best.expected > limit) {
+		return {kind: 'refuse', reason: 'too-late', retryAfter: retryAfter(terms, best.expected - (limit / 2))};
+	}
+
+	return best;
+}
+
+/** A caller comes back within a third of its time, or not at all. */
+function retryAfter({remaining}: PromptTerms, wish: number): number {
+	return Math.max(shortestRetry, Math.min(wish, remaining / 3));
+}
+
+type Prompt = PromptTerms & {
+	whole: number;
+	weight: number;
+	cost: EngineCost;
+	memory: number;
+};
+
+type Weighed = {
+	candidate: PromptCandidate;
+	/** Expected time until its part is read and the pass is over. */
+	ready: number;
+	/** Cost of using it, apart from the time. */
+	harm: number;
+	free: number;
+};
+
+/** The best way to read a prompt with a number of engines; undefined where their memory does not hold it. */
+function divide(prompt: Prompt, candidates: readonly PromptCandidate[], count: number): Place | undefined {
+	const part = prompt.whole / count;
+	// Harm and time are compared by what a later first event costs over the span in which it turns late.
+	const timeOfHarm = prompt.target * (surelyLate - surelyOnTime) / prompt.weight;
+	const weighed = candidates
+		.map(candidate => weigh(prompt, candidate, part))
+		.toSorted((one, other) => (one.ready + (one.harm * timeOfHarm)) - (other.ready + (other.harm * timeOfHarm)));
+	const chosen = weighed.slice(0, count);
+	const memory = shareMemory(prompt, chosen, weighed);
+	if (!memory) {
+		return undefined;
+	}
+
+	const {first, readers} = memory;
+	const used = [first, ...readers.map(reader => reader.weighed)];
+	const expected = Math.max(...used.map(({ready}) => ready));
+	const harm = used.reduce((sum, one) => sum + one.harm, 0);
+	return {
+		kind: 'place',
+		first: first.candidate.record,
+		firstMemory: memory.firstMemory,
+		readers: readers.map(({weighed: {candidate}, reserve}) => ({record: candidate.record, reserve})),
+		reading: prompt.whole / used.length,
+		expected,
+		weight: prompt.weight,
+		loss: (prompt.weight * (lateness(expected, prompt) + (engineRisk * (used.length - 1)))) + harm,
+	};
+}
+
+function weigh({cost, weight, whole, memory}: Prompt, {record, load, pace, isAvoided, inOwnDomain}: PromptCandidate, part: number): Weighed {
+	const slots = Math.min(record.slots, cost.slots) - spareSlots;
+	const pass = passTime(cost, load.running + 1, load.memory + memory);
+	const over = Math.max(0, load.running + 1 - slots);
+	const ready = (pace * (load.backlog + part + (passesToFirstEvent * pass))) + (over * fullWait);
+	const pause = load.backlog + pass;
+	const order = engineOrder(record.id);
+	return {
+		candidate: {
+			record, load, pace, isAvoided, inOwnDomain,
+		},
+		ready,
+		harm: harmTo(load.writers, pause, pause + part)
+			+ (isAvoided ? weight * avoidedCost : 0)
+			+ (orderCost * (whole < longReading ? order : 1 - order)),
+		free: (cost.memoryTokens * memoryShare) - load.memory,
+	};
+}
+
+/** What a longer pause costs the requests that write at an engine. */
+function harmTo(writers: readonly Writer[], before: number, after: number): number {
+	let harm = 0;
+	for (const {gapTarget, weight} of writers) {
+		harm += weight * (disturbance(after, gapTarget) - disturbance(before, gapTarget));
+	}
+
+	return harm;
+}
+
+function disturbance(pause: number, gapTarget: number): number {
+	return clamp((pause - (undisturbed * gapTarget)) / ((disturbed - undisturbed) * gapTarget));
+}
+
+/** How late a first event at some time is: 0 on time, 1 late, and more for a long time after. */
+function lateness(expected: number, {target, remaining}: Prompt): number {
+	const late = clamp((expected - (surelyOnTime * target)) / ((surelyLate - surelyOnTime) * target));
+	return late + (laterStill * expected / Math.max(expected, remaining));
+}
+
+function clamp(value: number): number {
+	return Math.min(1, Math.max(0, value));
+}
+
+type SharedMemory = {
+	first: Weighed;
+	firstMemory: number;
+	readers: Array<{weighed: Weighed; reserve: number}>;
+};
+
+/** Finds room for a prompt: at one engine if it fits, otherwise with reservations at engines that read parts of it. */
+function shareMemory({memory, answerTokens}: Prompt, chosen: readonly Weighed[], all: readonly Weighed[]): SharedMemory | undefined {
+	const roomy = chosen.find(({free}) => free >= memory);
+	if (roomy) {
+		return {
+			first: roomy, firstMemory: memory, readers: chosen.filter(one => one !== roomy).map(weighed => ({weighed, reserve: 0})),
+		};
+	}
+
+	const byRoom = chosen.toSorted((one, other) => other.free - one.free);
+	const [first, ...others] = byRoom;
+	if (!first || first.free < answerTokens) {
+		return undefined;
+	}
+
+	let missing = memory - first.free;
+	const readers: SharedMemory['readers'] = [];
+	for (const weighed of [...others, ...all.filter(one => !chosen.includes(one))]) {
+		if (missing <= 0 && !chosen.includes(weighed)) {
+			break;
+		}
+
+		const reserve = Math.max(0, Math.min(missing, Math.floor(weighed.free)));
+		if (reserve > 0 || chosen.includes(weighed)) {
+			readers.push({weighed, reserve: Math.ceil(reserve)});
+			missing -= reserve;
+		}
+	}
+
+	return missing > 0 || readers.length > maximumReaders ? undefined : {first, firstMemory: first.free, readers};
+}
+
+/** Engines that may read beside the first one, by the protocol. */
+const maximumReaders = 16;
--- /dev/null
+++ b/src/serving/engine-answer.ts
@@ -0,0 +1,257 @@
+/**
+ * The answer of one engine to one attempt, passed on to the caller as far as it can be trusted.
+ *
+ * @module
+ */
+import {Buffer} from 'node:buffer';
+import {performance} from 'node:perf_hooks';
+import type {CallerAnswer} from './caller-answer.js';
+import {EventSplitter, type StreamEvent} from './event-splitter.js';
+import {
+	type AnswerHead, Exchange, type ExchangeFailure, type ExchangeOptions,
+} from './exchange.js';
+import type {AnswerFacts, RequestProtocol} from './model.js';
+
+/** Time in milliseconds to connect to an engine: a few times the way across failure domains, and under a lost packet's repeat. */
+const connectTimeout = 300;
+
+/** Greatest size in bytes of an answer that is held until it is whole. */
+const maximumHeld = 16 * 1_048_576;
+
+/** Statuses that only an engine which did not run a request gives, beside its word for it. */
+const misdirectedStatus = 421;
+
+/** How an attempt ended. */
+export type AnswerOutcome
+	/** The caller has the whole answer. */
+	= | {kind: 'complete'; status: number}
+		/** Nothing was sent. */
+		| {kind: 'unreachable'; reason: string}
+		/** Another engine is at the address. */
+		| {kind: 'misdirected'}
+		/** The engine states that it did not run the request. */
+		| {kind: 'rejected'; status: number; faultyEngine: string | undefined}
+		/** The engine ran the request and failed; `deliver` passes its answer on and returns its status. */
+		| {kind: 'failure'; status: number; deliver: () => number}
+		/** No whole answer came; the request may have run. */
+		| {kind: 'broken' | 'stalled'; reason: string};
+
+/** What an attempt needs. */
+export type EngineAnswerOptions = {
+	exchange: Omit<ExchangeOptions, 'connectTimeout'>;
+	protocol: RequestProtocol;
+	requestId: string | undefined;
+	answer: CallerAnswer;
+	/** Number of the last event that the caller has. */
+	lastEvent: number | undefined;
+	isRepeatable: boolean;
+	/** Whether another engine could be asked instead of waiting on. */
+	mayRepeat: () => boolean;
+	/** Time in milliseconds after which a repeatable request is taken to be lost at this engine. */
+	firstLimit: number;
+	/** Pause in milliseconds between two events after which the stream is taken to be lost. */
+	gapLimit: number;
+	/** Told of each event passed on and the time since the one before. */
+	onEvent: (id: number | undefined, gap: number) => void;
+	onLoad: (load: NonNullable<AnswerFacts['load']>) => void;
+	onOutcome: (outcome: AnswerOutcome) => void;
+};
+
+/** One attempt at one engine. */
+export class EngineAnswer {
+	readonly #options: EngineAnswerOptions;
+	readonly #exchange: Exchange;
+	readonly #splitter = new EventSplitter();
+	#timer: NodeJS.Timeout | undefined;
+	#head: AnswerHead | undefined;
+	#facts: AnswerFacts | undefined;
+	readonly #held: Uint8Array[] = [];
+	#heldSize = 0;
+	#isStream = false;
+	#lastEvent: number | undefined;
+	#lastEventAt = performance.now();
+	#isOver = false;
+
+	constructor(options: EngineAnswerOptions) {
+		this.#options = options;
+		this.#lastEvent = options.lastEvent;
+		this.#arm(options.firstLimit);
+		this.#exchange = new Exchange({...options.exchange, connectTimeout}, {
+			head: head => {
+				this.#receiveHead(head);
+			},
+			data: bytes => {
+				this.#receive(bytes);
+			},
+			ended: () => {
+				this.#whole();
+			},
+			failed: (failure, reason) => {
+				this.#failed(failure, reason);
+			},
+		});
+	}
+
+	/** Whether any byte may have reached the engine. */
+	get maySend(): boolean {
+		return this.#exchange.maySend;
+	}
+
+	/** Stops the attempt; the engine drops the request with its connection. */
+	abort(): void {
+		this.#end({kind: 'broken', reason: 'given up by this instance'});
+	}
+
+	/** Waits for a sign of the engine, as long as another one could be asked instead. */
+	#arm(limit: number): void {
+		clearTimeout(this.#timer);
+		if (!this.#options.isRepeatable || !Number.isFinite(limit)) {
+			return;
+		}
+
+		this.#timer = setTimeout(() => {
+			if (this.#options.mayRepeat()) {
+				this.#end({kind: 'stalled', reason: `nothing came for ${Math.round(limit)} ms`});
+			} else {
+				this.#arm(limit);
+			}
+		}, limit);
+	}
+
+	#receiveHead(head: AnswerHead): void {
+		const facts = this.#options.protocol.readAnswer(head.headers);
+		this.#head = head;
+		this.#facts = facts;
+		if (facts.requestId !== undefined && facts.requestId !== this.#options.requestId) {
+			this.#end({kind: 'broken', reason: `answer to another request "${facts.requestId}"`});
+			return;
+		}
+
+		if (facts.load) {
+			this.#options.onLoad(facts.load);
+		}
+
+		const isSuccess = head.status >= 200 && head.status < 300;
+		if (facts.encoded || (isSuccess && !facts.signed)) {
+			this.#end({kind: 'broken', reason: facts.encoded ? 'answer in an encoding that nobody asked for' : 'success without the engine\'s signature'});
+			return;
+		}
+
+		this.#isStream = isSuccess && facts.isEventStream;
+	}
+
+	#receive(bytes: Uint8Array): void {
+		if (!this.#isStream) {
+			this.#held.push(bytes);
+			this.#heldSize += bytes.length;
+			if (this.#heldSize > maximumHeld) {
+				this.#end({kind: 'broken', reason: `answer of over ${maximumHeld} bytes`});
+			}
+
+			return;
+		}
+
+		try {
+			for (const event of this.#splitter.push(bytes)) {
+				if (!this.#pass(event)) {
+					return;
+				}
+			}
+		} catch (error) {
+			this.#end({kind: 'broken', reason: String(error)});
+		}
+	}
+
+	/** Passes an event on. @returns false where the stream ended with it. */
+	#pass({bytes, id}: StreamEvent): boolean {
+		if (this.#isOver) {
+			return false;
+		}
+
+		if (id !== undefined && this.#lastEvent !== undefined && id !== this.#lastEvent + 1) {
+			this.#end({kind: 'broken', reason: `event ${id} follows event ${this.#lastEvent}`});
+			return false;
+		}
+
+		const {answer, protocol, onEvent, gapLimit} = this.#options;
+		if (!answer.hasBegun) {
+			answer.begin(this.#head!.status, protocol.answer(this.#head!.rawHeaders));
+		}
+
+		if (!answer.write(bytes)) {
+			this.#end({kind: 'broken', reason: 'the caller does not read'});
+			return false;
+		}
+
+		const now = performance.now();
+		this.#lastEvent = id ?? this.#lastEvent;
+		onEvent(id, now - this.#lastEventAt);
+		this.#lastEventAt = now;
+		this.#arm(gapLimit);
+		return true;
+	}
+
+	#whole(): void {
+		if (this.#isOver || !this.#head || !this.#facts) {
+			return;
+		}
+
+		const {status, rawHeaders} = this.#head;
+		if (this.#isStream) {
+			this.#wholeStream(status);
+			return;
+		}
+
+		const {answer, protocol} = this.#options;
+		const body = Buffer.concat(this.#held);
+		const deliver = () => {
+			answer.complete(status, protocol.answer(rawHeaders), body);
+			return status;
+		};
+
+		if (status === misdirectedStatus) {
+			this.#end({kind: 'misdirected'});
+		} else if (this.#facts.notRun) {
+			this.#end({kind: 'rejected', status, faultyEngine: this.#facts.faultyEngine});
+		} else if (status >= 500 && !this.#facts.signed) {
+			this.#end({kind: 'broken', reason: `status ${status} without the engine's signature`});
+		} else if (status >= 500 || answer.hasBegun) {
+			this.#end({kind: 'failure', status, deliver: answer.hasBegun ? () => this.#breakOff() : deliver});
+		} else {
+			deliver();
+			this.#end({kind: 'complete', status});
+		}
+	}
+
+	/** A stream is whole where its last event is. */
+	#wholeStream(status: number): void {
+		const {answer} = this.#options;
+		if (this.#splitter.pending.length > 0 || !answer.hasBegun) {
+			this.#end({kind: 'broken', reason: 'stream ended in the middle of an event'});
+			return;
+		}
+
+		answer.end();
+		this.#end({kind: 'complete', status});
+	}
+
+	#breakOff(): number {
+		this.#options.answer.breakOff();
+		return 0;
+	}
+
+	#failed(failure: ExchangeFailure, reason: string): void {
+		this.#end(failure === 'unreachable' ? {kind: 'unreachable', reason} : {kind: 'broken', reason});
+	}
+
+	#end(outcome: AnswerOutcome): void {
+		if (this.#isOver) {
+			return;
+		}
+
+		this.#isOver = true;
+		clearTimeout(this.#timer);
+		this.#exchange.abort();
+		this.#options.onOutcome(outcome);
+	}
+}
--- /dev/null
+++ b/src/serving/engine-chooser.ts
@@ -0,0 +1,272 @@
+/**
+ * Turns placements into engines that a request can be sent to, with the memory that they set aside for it.
+ *
+ * @module
+ */
+import type {ErrorCode} from '../errors/catalogue.js';
+import type {PlacementDesk} from '../placement/placement-desk.js';
+import {patience, type PromptDecision} from '../placement/prompt-placement.js';
+import {passTime} from '../placement/reading-time.js';
+import {Reservations, type ReservationsOptions} from '../placement/reservations.js';
+import type {EventLog} from '../telemetry/log.js';
+import type {
+	EngineCost, EngineRecord, RequestFacts, Route, Service,
+} from './model.js';
+
+/** What is known of a request when an engine is chosen for it. */
+export type ChoiceTerms = {
+	requestId: string;
+	service: Service;
+	route: Route;
+	facts: RequestFacts;
+	/** Time in milliseconds that is left. */
+	remaining: number;
+	excluded: ReadonlySet<string>;
+	/** Number of this attempt, from 1. */
+	attempt: number;
+};
+
+/** An engine that was chosen, and what it is told of the request's fate there. */
+export type ChosenEngine = {
+	record: EngineRecord;
+	/** Rank at the engine; undefined leaves it to the engine. */
+	rank: number | undefined;
+	/** Engines that read parts of the prompt, as addresses with reservations. */
+	readers: readonly string[];
+	/** Times in milliseconds after which a repeatable request is taken to be lost. */
+	firstLimit: number;
+	gapLimit: number;
+	observeEvent(gap: number): void;
+	observeLoad(load: {running: number; waiting: number; slots: number}): void;
+	/** The engine failed by its own fault. */
+	failed(): void;
+	/** The engine, or one that it asked, did not take the request. */
+	rejected(faultyEngine: string | undefined): void;
+	/** Another engine is at its address. */
+	misdirected(): void;
+	/** The request is over at this engine. */
+	release(): void;
+};
+
+export type Choice = {kind: 'chosen'; engine: ChosenEngine} | {kind: 'refused'; code: ErrorCode; reason: string; retryAfter: number};
+
+/** What the chooser works with. */
+export type EngineChooserOptions = {
+	desk: PlacementDesk;
+	log: EventLog;
+	reservations: ReservationsOptions;
+	/** An engine is gone from its address. */
+	onMisdirected: (engineId: string) => void;
+};
+
+/** Tries to set memory aside before a prompt is refused. */
+const reservationTries = 3;
+
+/** Retry-After in milliseconds where no engine is known; entries of engines come every second or so. */
+const noEngineRetry = 500;
+
+/** Least time in milliseconds before a stream without any event is taken to be lost. */
+const shortestFirstLimit = 700;
+
+/** Factor on the expected time to the first event after which it is taken to be lost. */
+const firstLimitFactor = 2.5;
+
+/** Factor on the longest timely pause after which a stream is taken to be lost, and the least such time in milliseconds. */
+const gapLimitFactor = 2;
+const shortestGapLimit = 1000;
+
+/** Share of the target after which a request without a prompt is taken to be lost. */
+const serviceLimitShare = 0.75;
+
+/** Ranks at the engines: short prompts go before long ones. */
+const shortRank = 2;
+const longRank = 4;
+
+/** Prompt tokens up to which a prompt counts as short for its rank. */
+const shortPrompt = 25_000;
+
+/** Weight of a request without a prompt. */
+const serviceWeight = 1;
+
+/** Chooses engines for requests. */
+export class EngineChooser {
+	readonly #options: EngineChooserOptions;
+
+	constructor(options: EngineChooserOptions) {
+		this.#options = options;
+	}
+
+	async choose(terms: ChoiceTerms): Promise<Choice> {
+		const cost = terms.service.engineCost;
+		if (cost === undefined || terms.facts.promptTokens === undefined) {
+			return this.#chooseService(terms);
+		}
+
+		return this.#choosePrompt(terms, cost, terms.facts.promptTokens);
+	}
+
+	#chooseService({requestId, service, route, excluded, remaining, attempt}: ChoiceTerms): Choice {
+		const {desk, log} = this.#options;
+		const chosen = desk.decideService(service, excluded);
+		if (!chosen) {
+			log.warn('placement.refused', {
+				request: requestId, service: service.name, reason: 'no-engine', excluded: excluded.size,
+			});
+			return {
+				kind: 'refused', code: '3005', reason: `no engine of service "${service.name}" is ready`, retryAfter: noEngineRetry,
+			};
+		}
+
+		const {record, running, candidates} = chosen;
+		log.info('placement.decided', {
+			request: requestId, service: service.name, engine: record.id, running, candidates, attempt, remaining: Math.round(remaining),
+		});
+		const key = desk.place([{
+			engineId: record.id, reading: 0, memory: 0, writes: true,
+		}], {gapTarget: Number.POSITIVE_INFINITY, weight: serviceWeight, remaining});
+		return {
+			kind: 'chosen',
+			engine: {
+				...this.#reports(key, record, 0),
+				record,
+				rank: undefined,
+				readers: [],
+				firstLimit: route.kind === 'stream' ? Number.POSITIVE_INFINITY : Math.max(1, route.target * serviceLimitShare),
+				gapLimit: Number.POSITIVE_INFINITY,
+				release() {
+					desk.end(key);
+				},
+			},
+		};
+	}
+
+	async #choosePrompt(terms: ChoiceTerms, cost: EngineCost, promptTokens: number): Promise<Choice> {
+		const {route, facts, service, remaining, requestId} = terms;
+		const {desk, log} = this.#options;
+		const excluded = new Set(terms.excluded);
+		const promptTerms = {
+			promptTokens,
+			answerTokens: Math.min(facts.maximumAnswerTokens > 0 ? facts.maximumAnswerTokens : Number.POSITIVE_INFINITY, facts.answerHint ?? cost.usual.answer),
+			target: route.target,
+			gapTarget: route.gapTarget ?? Number.POSITIVE_INFINITY,
+			remaining,
+		};
+		for (let tries = 0; tries < reservationTries; tries++) {
+			const decision = desk.decidePrompt(service, cost, promptTerms, excluded);
+			this.#log(terms, promptTokens, decision);
+			if (decision.kind === 'refuse') {
+				return {
+					kind: 'refused', code: decision.reason === 'no-engine' ? '3005' : '3004', reason: decision.reason, retryAfter: decision.retryAfter,
+				};
+			}
+
+			const key = desk.place(partsOf(decision), {gapTarget: promptTerms.gapTarget, weight: decision.weight, remaining});
+			const reservations = new Reservations(requestId, this.#options.reservations);
+			const wanted = decision.readers.filter(({reserve}) => reserve > 0).map(({record, reserve}) => ({engine: record, tokens: reserve}));
+			const held = wanted.length === 0 ? {ids: new Map<string, string>()} : await reservations.reserve(wanted); // eslint-disable-line no-await-in-loop
+			if ('failed' in held) {
+				desk.end(key);
+				excluded.add(held.failed.id);
+				continue;
+			}
+
+			return {
+				kind: 'chosen', engine: this.#chosenPrompt({
+					terms, cost, promptTokens, decision, key, reservations, ids: held.ids,
+				}),
+			};
+		}
+
+		log.warn('placement.refused', {request: requestId, service: service.name, reason: 'no-memory'});
+		return {
+			kind: 'refused', code: '3004', reason: 'no memory could be set aside', retryAfter: noEngineRetry,
+		};
+	}
+
+	#chosenPrompt({terms: {route}, cost, promptTokens, decision, key, reservations, ids}: {
+		terms: ChoiceTerms;
+		cost: EngineCost;
+		promptTokens: number;
+		decision: Extract<PromptDecision, {kind: 'place'}>;
+		key: string;
+		reservations: Reservations;
+		ids: ReadonlyMap<string, string>;
+	}): ChosenEngine {
+		const {desk} = this.#options;
+		const gapTarget = route.gapTarget ?? Number.POSITIVE_INFINITY;
+		const longestWait = patience({target: route.target, gapTarget}) / 2;
+		return {
+			...this.#reports(key, decision.first, passTime(cost, 1, promptTokens)),
+			record: decision.first,
+			rank: promptTokens <= shortPrompt ? shortRank : longRank,
+			readers: decision.readers.map(({record}) => {
+				const id = ids.get(record.id);
+				return id === undefined ? record.address : `${record.address}/${id}`;
+			}),
+			firstLimit: Math.max(shortestFirstLimit, longestWait, decision.expected * firstLimitFactor),
+			gapLimit: Math.max(shortestGapLimit, gapTarget * gapLimitFactor),
+			release() {
+				reservations.release();
+				desk.end(key);
+			},
+		};
+	}
+
+	/** What a request tells of its engine. @param pass - Expected time between two events; 0 where there are none. */
+	#reports(key: string, record: EngineRecord, pass: number) {
+		const {desk, onMisdirected, log} = this.#options;
+		let events = 0;
+		return {
+			observeEvent(gap: number) {
+				events += 1;
+				if (events === 1) {
+					desk.begin(key);
+				} else if (pass > 0) {
+					desk.observePace(record.id, gap / pass);
+				}
+			},
+			observeLoad() {
+				// Placements are known from the instances themselves, and sooner.
+			},
+			failed() {
+				desk.failed(record.id);
+			},
+			rejected(faultyEngine: string | undefined) {
+				if (faultyEngine !== undefined) {
+					log.warn('engine.faulty', {engine: record.id, faulty: faultyEngine});
+				}
+			},
+			misdirected() {
+				onMisdirected(record.id);
+			},
+		};
+	}
+
+	#log({requestId, service, remaining, attempt}: ChoiceTerms, promptTokens: number, decision: PromptDecision & {candidates: number}): void {
+		if (decision.kind === 'refuse') {
+			this.#options.log.warn('placement.refused', {
+				request: requestId, service: service.name, length: promptTokens, reason: decision.reason, candidates: decision.candidates,
+				remaining: Math.round(remaining), retry_after: Math.round(decision.retryAfter), attempt,
+			});
+			return;
+		}
+
+		this.#options.log.info('placement.decided', {
+			request: requestId, service: service.name, length: promptTokens, engine: decision.first.id, candidates: decision.candidates,
+			readers: decision.readers.length, reserved: decision.readers.filter(({reserve}) => reserve > 0).length,
+			reading: Math.round(decision.reading), expected: Math.round(decision.expected), loss: decision.loss.toFixed(2),
+			remaining: Math.round(remaining), attempt,
+		});
+	}
+}
+
+function partsOf({first, firstMemory, readers, reading}: Extract<PromptDecision, {kind: 'place'}>) {
+	return [
+		{
+			engineId: first.id, reading, memory: firstMemory, writes: true,
+		},
+		...readers.map(({record, reserve}) => ({
+			engineId: record.id, reading, memory: reserve, writes: false,
+		})),
+	];
+}
--- /dev/null
+++ b/src/serving/serving-instance.ts
@@ -0,0 +1,280 @@
+/**
+ * One instance on the platform: its listeners, its watches of the store and its news of the others.
+ *
+ * @module
+ */
+import http from 'node:http';
+import {performance} from 'node:perf_hooks';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {errorMessage} from '../errors/errors.js';
+import {PeerNews} from '../peers/peer-news.js';
+import {EngineReputation} from '../placement/engine-reputation.js';
+import {LoadBook} from '../placement/load-book.js';
+import {PlacementDesk} from '../placement/placement-desk.js';
+import type {EngineOrders} from '../placement/reservations.js';
+import type {EventLog} from '../telemetry/log.js';
+import {ConfigurationWatch} from '../watch/configuration-watch.js';
+import {EngineCatalogue} from '../watch/engine-catalogue.js';
+import type {RowSource} from '../watch/row-source.js';
+import {TableWatch} from '../watch/table-watch.js';
+import {Admission, type ServingState} from './admission.js';
+import {CallerListener} from './caller-listener.js';
+import {EngineChooser} from './engine-chooser.js';
+import type {EngineRecord, RequestProtocol, ServingConfiguration} from './model.js';
+import {RepeatBudget} from './repeat-budget.js';
+import {ServingMetrics} from './serving-metrics.js';
+
+/** An IP number and a port. */
+export type Endpoint = {host: string; port: number};
+
+/** Tables of the platform's store and how their rows are decoded. */
+export type StoreTables = {
+	configuration: {table: string; key: string; decode: (value: string) => ServingConfiguration};
+	engines: {table: string; decode: (id: string, value: string) => EngineRecord};
+	/** Rows that instances write of themselves, their IP numbers. */
+	instances: {table: string; decode: (value: string) => string};
+};
+
+/** Writes rows of the instance's own. */
+export interface RowWriter {
+	write(table: string, key: string, value: string): Promise<void>;
+}
+
+/** Bounds in milliseconds, or as the field says. */
+export type ServingBounds = {
+	gracePeriod: number;
+	retryRatio: number;
+	retryWindow: number;
+	retryAllowance: number;
+	longestReservation: number;
+	memoryRelease: number;
+};
+
+/** What an instance is made of. */
+export type ServingInstanceOptions = {
+	instance: string;
+	ip: string;
+	failureDomain: string;
+	callers: Endpoint;
+	readiness: Endpoint;
+	/** Where metrics are served; undefined where they are not. */
+	metrics: Endpoint | undefined;
+	/** Port for the news of instances, the same at all of them. */
+	peerPort: number;
+	bounds: ServingBounds;
+	store: RowSource & RowWriter & {close: () => void};
+	tables: StoreTables;
+	protocol: RequestProtocol;
+	orders: EngineOrders;
+	log: EventLog;
+	linesDropped: () => number;
+};
+
+/** Shortest and longest time in milliseconds that a feed waits: with few instances, another one notices a silent connection later. */
+const shortestFeedWait = 5000;
+const longestFeedWait = 30_000;
+
+/** Time in milliseconds of waiting that each further instance adds. */
+const feedWaitPerInstance = 1000;
+
+/** Time in milliseconds after SIGTERM in which callers are still sent here: two questions for readiness and a margin. */
+const rotationTime = 2500;
+
+/** Share of the grace period after which new requests are turned away, because they might not end in it. */
+const admissionShare = 0.4;
+
+/** Share of the grace period after which requests under way are left to their fate. */
+const graceShare = 0.97;
+
+/** Times in milliseconds between two looks for the end of all requests, and between two tries to join. */
+const idleCheck = 50;
+const joinRetry = 1000;
+
+/** One running instance. */
+export class ServingInstance {
+	readonly #options: ServingInstanceOptions;
+	readonly #metrics = new ServingMetrics();
+	readonly #book = new LoadBook();
+	readonly #reputation = new EngineReputation();
+	readonly #configuration: ConfigurationWatch;
+	readonly #engines: EngineCatalogue;
+	readonly #configurationTable: TableWatch;
+	readonly #engineTable: TableWatch;
+	readonly #peers: PeerNews;
+	readonly #admission: Admission;
+	readonly #listener: CallerListener;
+	readonly #auxiliary: http.Server[] = [];
+	#state: ServingState = 'serving';
+	#isJoined = false;
+
+	constructor(options: ServingInstanceOptions) {
+		this.#options = options;
+		const {log, tables, store, protocol, bounds, ip, failureDomain} = options;
+		const origin = `${options.instance}~${Date.now().toString(36)}`;
+		this.#configuration = new ConfigurationWatch({
+			log, key: tables.configuration.key, decode: tables.configuration.decode,
+			onChange: routes => {
+				this.#listener.limit(routes.configuration.limits);
+			},
+		});
+		this.#engines = new EngineCatalogue({
+			log, decode: tables.engines.decode,
+			onChange: (id, record) => {
+				this.#engineChanged(id, record);
+			},
+		});
+		const feedWait = () => Math.min(longestFeedWait, shortestFeedWait + (feedWaitPerInstance * this.#peers.size));
+		this.#configurationTable = new TableWatch({
+			source: store, table: tables.configuration.table, listener: this.#configuration, feedWait,
+		});
+		this.#engineTable = new TableWatch({
+			source: store, table: tables.engines.table, listener: this.#engines, feedWait,
+		});
+		this.#peers = new PeerNews({
+			ip, port: options.peerPort, origin, book: this.#book, reputation: this.#reputation, log,
+			own: () => ({configuration: this.#configuration.version, engines: this.#engines.size}),
+			onState() {
+				// Compared with the instance's own state once instances tell each other of changes.
+			},
+		});
+		const desk = new PlacementDesk({
+			engines: this.#engines, book: this.#book, reputation: this.#reputation, news: this.#peers, failureDomain, origin,
+		});
+		const chooser = new EngineChooser({
+			desk, log,
+			reservations: {
+				orders: options.orders, log, memoryRelease: bounds.memoryRelease, longestHold: bounds.longestReservation,
+			},
+			onMisdirected: id => {
+				this.#engines.forget(id, 'another engine is at its address');
+			},
+		});
+		this.#admission = new Admission({
+			routes: () => this.#configuration.routes, state: () => this.#state, protocol, chooser, metrics: this.#metrics, log,
+			budget: new RepeatBudget({
+				ratio: bounds.retryRatio, window: bounds.retryWindow, allowance: bounds.retryAllowance, instances: () => this.#peers.size + 1,
+			}),
+		});
+		this.#listener = new CallerListener((request, response) => {
+			void this.#admission.handle(request, response);
+		});
+		this.#observe();
+	}
+
+	/** Whether new connections are welcome. */
+	get isReady(): boolean {
+		return this.#state === 'serving' && this.#configuration.routes !== undefined && this.#engines.size > 0;
+	}
+
+	async start(): Promise<void> {
+		const {log, callers, readiness, metrics, instance, ip} = this.#options;
+		void this.#configurationTable.run();
+		void this.#engineTable.run();
+		await this.#peers.start();
+		await this.#listener.listen(callers);
+		await this.#serve(readiness, (_request, response) => {
+			response.writeHead(this.isReady ? 200 : 503, ['Content-Length', '0']);
+			response.end();
+		});
+		if (metrics) {
+			await this.#serveMetrics(metrics);
+		}
+
+		void this.#join();
+		log.info('instance.started', {
+			ip, instance, callers: callers.port, startup_ms: Math.round(performance.now()), version: this.#configuration.version, engines: this.#engines.size,
+		});
+	}
+
+	/** Leaves the rotation, lets requests under way end and resolves when the process may end. */
+	async stop(): Promise<void> {
+		const {log, bounds} = this.#options;
+		const startedAt = performance.now();
+		const elapsed = () => performance.now() - startedAt;
+		this.#state = 'leaving';
+		log.info('instance.leaving', {active: this.#admission.active});
+		while (elapsed() < bounds.gracePeriod * graceShare) {
+			if (elapsed() > bounds.gracePeriod * admissionShare) {
+				this.#state = 'closing';
+			}
+
+			if (elapsed() > rotationTime && this.#admission.active === 0) {
+				break;
+			}
+
+			await sleep(idleCheck); // eslint-disable-line no-await-in-loop
+		}
+
+		this.#listener.close();
+		log.info('instance.stopped', {active: this.#admission.active, duration: Math.round(elapsed())});
+		this.#close();
+	}
+
+	#close(): void {
+		this.#configurationTable.close();
+		this.#engineTable.close();
+		this.#engines.close();
+		this.#peers.close();
+		this.#options.store.close();
+		for (const server of this.#auxiliary) {
+			server.close();
+		}
+	}
+
+	/** Writes this instance's address to the store and asks all others that are there. */
+	async #join(): Promise<void> {
+		const {store, tables: {instances}, instance, ip, log} = this.#options;
+		while (!this.#isJoined && this.#state === 'serving') {
+			try {
+				await store.write(instances.table, instance, ip); // eslint-disable-line no-await-in-loop
+				const {rows} = await store.read(instances.table); // eslint-disable-line no-await-in-loop
+				this.#isJoined = true;
+				this.#peers.ask(rows.flatMap(({value}) => value === undefined ? [] : [instances.decode(value)]));
+				log.info('instance.joined', {instances: rows.length});
+			} catch (error) {
+				log.warn('instance.join-failed', {reason: errorMessage(error)});
+				await sleep(joinRetry * (0.5 + Math.random())); // eslint-disable-line no-await-in-loop
+			}
+		}
+	}
+
+	#engineChanged(id: string, record: EngineRecord | undefined): void {
+		if (record === undefined || record.state === 'ready') {
+			this.#book.forgetEngine(id);
+			this.#reputation.forget(id);
+		}
+	}
+
+	async #serveMetrics(endpoint: Endpoint): Promise<void> {
+		const {registry} = this.#metrics;
+		await this.#serve(endpoint, (_request, response) => {
+			void answerMetrics(registry, response);
+		});
+	}
+
+	async #serve({host, port}: Endpoint, handler: http.RequestListener): Promise<void> {
+		const server = http.createServer(handler);
+		this.#auxiliary.push(server);
+		await new Promise<void>((resolve, reject) => {
+			server.once('error', reject);
+			server.listen({host, port}, resolve);
+		});
+	}
+
+	#observe(): void {
+		this.#metrics.observe({
+			configurationVersion: () => this.#configuration.version,
+			engines: () => this.#engines.size,
+			peers: () => this.#peers.size,
+			placements: () => this.#book.size,
+			storeAge: () => Math.max(this.#configurationTable.age, this.#engineTable.age) / 1000,
+			linesDropped: this.#options.linesDropped,
+		});
+	}
+}
+
+async function answerMetrics(registry: ServingMetrics['registry'], response: http.ServerResponse): Promise<void> {
+	const body = await registry.metrics();
+	response.writeHead(200, ['Content-Type', registry.contentType]);
+	response.end(body);
+}
--- a/src/telemetry/log.ts
+++ b/src/telemetry/log.ts
@@ -27,7 +27,7 @@
 	 * Receives each line without its line end.
 	 * @default writes to standard error
 	 */
-	write?: (line: string) => void;
+	write?: (line: string, level: LogLevel) => void;
 };
 
 /** Writes events as key=value lines. */
@@ -35,15 +35,15 @@
 	readonly #logger: loglevel.Logger;
 	readonly #common: LogFields;
 	readonly #level: LogLevel;
-	readonly #write: (line: string) => void;
+	readonly #write: (line: string, level: LogLevel) => void;
 
 	constructor({level = 'info', common = {}, write = writeToStandardError}: EventLogOptions = {}) {
 		this.#level = level;
 		this.#write = write;
 		this.#common = common;
 		this.#logger = loglevel.getLogger(Symbol('carobquay'));
-		this.#logger.methodFactory = () => (line: string) => {
-			write(line);
+		this.#logger.methodFactory = method => (line: string) => {
+			write(line, levelOrder.find(known => known === method) ?? 'info');
 		};
 
 		this.#logger.setLevel(level satisfies LogLevelDesc, false);
--- /dev/null
+++ b/src/watch/table-watch.ts
@@ -0,0 +1,137 @@
+/**
+ * Follows one table of the platform's store: a read, then a feed of its changes.
+ *
+ * @module
+ */
+import {performance} from 'node:perf_hooks';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {errorMessage} from '../errors/errors.js';
+import {HistoryLostError, type RowChange, type RowSource} from './row-source.js';
+
+/** First and longest time in milliseconds between two calls while the store does not answer. */
+const firstRetry = 100;
+const longestRetry = 1000;
+
+/** Factor between two such times. */
+const retryGrowth = 2;
+
+/** Time in milliseconds in which further changes are gathered before the feed is asked again. */
+const gatherTime = 60;
+
+/** Share of a feed's wait that is random, so that instances do not ask in step. */
+const waitSpread = 0.5;
+
+/** Told what is in the table. */
+export interface TableListener {
+	/** All rows, replacing what was known. @param regained - Whether the store had not answered before. */
+	replaced(rows: readonly RowChange[], regained: boolean): void;
+	changed(rows: readonly RowChange[]): void;
+	/** The store does not answer; what is known may be out of date. */
+	lost(reason: string): void;
+}
+
+/** What a watch works with. */
+export type TableWatchOptions = {
+	source: RowSource;
+	table: string;
+	listener: TableListener;
+	/** Longest time in milliseconds that one feed call waits, asked at each call. */
+	feedWait: () => number;
+	/** @default Math.random */
+	random?: () => number;
+};
+
+/** Keeps a listener up to date on one table. */
+export class TableWatch {
+	readonly #options: TableWatchOptions;
+	readonly #random: () => number;
+	readonly #closing = new AbortController();
+	#call = new AbortController();
+	#version: number | undefined;
+	#failures = 0;
+	#confirmedAt = performance.now();
+
+	constructor(options: TableWatchOptions) {
+		this.#options = options;
+		this.#random = options.random ?? Math.random;
+	}
+
+	/** Version of the store up to which the table is known; 0 before the first read. */
+	get version(): number {
+		return this.#version ?? 0;
+	}
+
+	/** Time in milliseconds since the store last answered. */
+	get age(): number {
+		return performance.now() - this.#confirmedAt;
+	}
+
+	/** Follows the table until `close`. */
+	async run(): Promise<void> {
+		while (!this.#closing.signal.aborted) {
+			await this.#step(); // eslint-disable-line no-await-in-loop
+		}
+	}
+
+	/** Reads the table anew at once, because another instance has seen a newer version. */
+	refresh(): void {
+		this.#version = undefined;
+		this.#call.abort();
+	}
+
+	close(): void {
+		this.#closing.abort();
+		this.#call.abort();
+	}
+
+	async #step(): Promise<void> {
+		try {
+			await (this.#version === undefined || this.#failures > 0 ? this.#readAll() : this.#followFeed(this.#version));
+		} catch (error) {
+			await this.#recover(error);
+		}
+	}
+
+	async #readAll(): Promise<void> {
+		const {source, table, listener} = this.#options;
+		this.#call = new AbortController();
+		const {rows, version} = await source.read(table, this.#call.signal);
+		const regained = this.#failures > 0;
+		this.#version = version;
+		this.#failures = 0;
+		this.#confirmedAt = performance.now();
+		listener.replaced(rows, regained);
+	}
+
+	async #followFeed(from: number): Promise<void> {
+		const {source, table, listener, feedWait} = this.#options;
+		const wait = Math.round(feedWait() * (1 - (waitSpread * this.#random())));
+		this.#call = new AbortController();
+		const {rows, version} = await source.feed(table, from, wait, this.#call.signal);
+		this.#version = Math.max(from, version);
+		this.#confirmedAt = performance.now();
+		if (rows.length > 0) {
+			listener.changed(rows);
+			await sleep(gatherTime);
+		}
+	}
+
+	async #recover(error: unknown): Promise<void> {
+		if (this.#closing.signal.aborted || this.#call.signal.aborted) {
+			return;
+		}
+
+		if (error instanceof HistoryLostError) {
+			this.#version = undefined;
+			return;
+		}
+
+		this.#failures += 1;
+		if (this.#failures === 1) {
+			this.#options.listener.lost(errorMessage(error));
+		}
+
+		const delay = Math.min(longestRetry, firstRetry * (retryGrowth ** (this.#failures - 1)));
+		await sleep(delay * (1 - (waitSpread * this.#random())));
+	}
+}
