feat(placement): weigh prompts by their tokens and read long ones as early as possible

Cause: a prompt's weight grew with its reading time, which is quadratic, so that one of 700,000 tokens counted for 270 short ones and disturbed 17 engines; a long prompt that would just be on time was read late and met the next burst. Ruled out: dedicated engines for short prompts as a setting (the common order does the same while there is room). Change: weight follows the tokens; lateness of long prompts counts from a tenth of the target; pauses count as late near their target; the order of engines counts more. bench:placement plays the users' bursts on modelled engines.

--- /dev/null
+++ b/bench/placement/load.ts
@@ -0,0 +1,140 @@
+/**
+ * Kinds of prompt of the users' deployments and the patterns in which they come.
+ *
+ * @module
+ */
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import type {RandomGenerator} from 'pure-rand/types/RandomGenerator';
+import type {EngineCost} from '../../src/serving/model.js';
+
+/** One kind of prompt. */
+export type PromptKind = {
+	name: string;
+	/** Requests a second. */
+	rate: number;
+	tokens: {mean: number; spread: number; max: number};
+	events: {mean: number; spread: number; max: number};
+	target: number;
+	gapTarget: number;
+	deadline: number;
+	worth: number;
+	lateWorth: number;
+};
+
+/** A deployment. */
+export type Deployment = {
+	name: string;
+	engines: number;
+	cost: EngineCost;
+	kinds: readonly PromptKind[];
+};
+
+/** How many times the usual requests of each kind come, from a time on. */
+export type Phase = {from: number; factors: readonly number[]};
+
+/** One prompt of a run. */
+export type LoadRequest = {
+	id: number;
+	at: number;
+	kind: PromptKind;
+	tokens: number;
+	answerTokens: number;
+	hint: number;
+};
+
+const cost: EngineCost = {
+	slots: 11, memoryTokens: 315_000, step: 0.85, stepPerRequest: 0.006_18, stepPerThousandTokens: 0.002_85,
+	readRate: 177, pairCost: 0.184, stride: 51, usual: {prompt: 11_108, answer: 1622},
+};
+
+const grownCost: EngineCost = {
+	...cost, slots: 8, memoryTokens: 267_750, stride: 57,
+};
+
+const short: PromptKind = {
+	name: 'short', rate: 20, tokens: {mean: 5000, spread: 0.9, max: 23_800}, events: {mean: 33, spread: 0.7, max: 82},
+	target: 300, gapTarget: 250, deadline: 10_000, worth: 1.3, lateWorth: 0.33,
+};
+
+const medium: PromptKind = {
+	name: 'medium', rate: 1.01, tokens: {mean: 45_000, spread: 0.5, max: 110_000}, events: {mean: 20, spread: 0.6, max: 49},
+	target: 1500, gapTarget: 600, deadline: 10_000, worth: 4.2, lateWorth: 1,
+};
+
+const long: PromptKind = {
+	name: 'long', rate: 0.614, tokens: {mean: 154_000, spread: 0.55, max: 700_000}, events: {mean: 16, spread: 0.5, max: 41},
+	target: 3000, gapTarget: 1000, deadline: 15_000, worth: 21, lateWorth: 5.2,
+};
+
+/** The users' deployments, with the figures of their sheets. */
+export const deployments: Readonly<Record<'veli-randevu' | 'kohtulugu' | 'veli-randevu-grown' | 'kohtulugu-grown', Deployment>> = {
+	'veli-randevu': {
+		name: 'veli-randevu', engines: 14, cost, kinds: [short, medium, long],
+	},
+	kohtulugu: {
+		name: 'kohtulugu', engines: 18, cost, kinds: [{...short, rate: 25.8}, {...medium, rate: 1.31}, {...long, rate: 0.791}],
+	},
+	'veli-randevu-grown': {
+		name: 'veli-randevu-grown', engines: 45, cost: grownCost, kinds: grownKinds([50.7, 3.22, 1.37]),
+	},
+	'kohtulugu-grown': {
+		name: 'kohtulugu-grown', engines: 60, cost: grownCost, kinds: grownKinds([67.7, 4.29, 1.84]),
+	},
+};
+
+function grownKinds([shorts, mediums, longs]: readonly [number, number, number]): PromptKind[] {
+	return [
+		{...short, rate: shorts, target: 309},
+		{
+			...medium, rate: mediums, worth: 3.5, lateWorth: 0.88,
+		},
+		{
+			...long, rate: longs, tokens: {mean: 220_000, spread: 0.55, max: 700_000}, target: 4024, worth: 29, lateWorth: 7.4,
+		},
+	];
+}
+
+/** Long prompts, then short ones, then long ones again, as on the users' heaviest days. Times in milliseconds. */
+export const alternatingBursts: readonly Phase[] = [
+	{from: 0, factors: [1, 1, 1]},
+	{from: 2000, factors: [0.35, 1.3, 2.9]},
+	{from: 12_000, factors: [2.4, 0.5, 0.05]},
+	{from: 23_000, factors: [0.35, 1.3, 2.9]},
+	{from: 32_500, factors: [1, 1, 1]},
+];
+
+/** Tokens of one event. */
+const eventTokens = 51;
+
+/** Draws the prompts of a run. @param share - Requests relative to the deployment's usual ones. */
+export function drawLoad({kinds}: Deployment, phases: readonly Phase[], {duration, share, seed}: {duration: number; share: number; seed: number}): LoadRequest[] {
+	const generator = xoroshiro128plus(seed);
+	const requests: LoadRequest[] = [];
+	for (const [index, kind] of kinds.entries()) {
+		let at = 0;
+		while (at < duration) {
+			at += -Math.log(1 - uniformFloat64(generator)) * 1000 / (kind.rate * share * factorAt(phases, at, index));
+			const answerTokens = eventTokens * Math.max(1, Math.round(lognormal(generator, kind.events)));
+			requests.push({
+				id: 0, at, kind, tokens: Math.round(lognormal(generator, kind.tokens)), answerTokens,
+				hint: Math.round(answerTokens * Math.exp(0.5 * normal(generator))),
+			});
+		}
+	}
+
+	return requests.filter(({at}) => at < duration).toSorted((one, other) => one.at - other.at).map((request, id) => ({...request, id}));
+}
+
+function factorAt(phases: readonly Phase[], at: number, kind: number): number {
+	return phases.findLast(({from}) => from <= at)?.factors[kind] ?? 1;
+}
+
+function lognormal(generator: RandomGenerator, {mean, spread, max}: {mean: number; spread: number; max: number}): number {
+	const variance = Math.log(1 + (spread * spread));
+	return Math.min(max, mean * Math.exp((Math.sqrt(variance) * normal(generator)) - (variance / 2)));
+}
+
+function normal(generator: RandomGenerator): number {
+	return Math.sqrt(-2 * Math.log(1 - uniformFloat64(generator))) * Math.cos(2 * Math.PI * uniformFloat64(generator));
+}
--- /dev/null
+++ b/bench/placement/simulation.ts
@@ -0,0 +1,226 @@
+/**
+ * Plays a load on modelled engines with the product's placement, under a virtual clock.
+ *
+ * @module
+ */
+import {LoadBook} from '../../src/placement/load-book.js';
+import {patience, placePrompt, type PromptCandidate} from '../../src/placement/prompt-placement.js';
+import type {EngineRecord} from '../../src/serving/model.js';
+import {EventQueue} from '../policy/event-queue.js';
+import {EngineModel, type ModelRequest} from './engine-model.js';
+import type {Deployment, LoadRequest, PromptKind} from './load.js';
+
+/** Time in milliseconds from an instance to an engine or back, with the connection. */
+const wayTime = 3;
+
+/** Outcomes of one kind of prompt. */
+export type KindResult = {
+	asked: number;
+	onTime: number;
+	late: number;
+	refused: number;
+	lost: number;
+	/** Credit earned over credit owed. */
+	worth: number;
+};
+
+/** Outcomes of a run. */
+export type SimulationResult = {
+	worth: number;
+	/** Worth in the two worst spans of five seconds. */
+	worst: number;
+	kinds: Record<string, KindResult>;
+};
+
+/** What a run is made of. */
+export type SimulationOptions = {
+	deployment: Deployment;
+	load: readonly LoadRequest[];
+	/**
+	 * Factor on an engine's times, by its number.
+	 * @default 1 for all
+	 */
+	pace?: (engine: number, now: number) => number;
+};
+
+type Outcome = {request: LoadRequest; credit: number; owed: number; kind: 'onTime' | 'late' | 'refused' | 'lost'};
+
+/** Runs a load to its end. */
+export function simulate({deployment, load, pace = () => 1}: SimulationOptions): SimulationResult {
+	const queue = new EventQueue();
+	const book = new LoadBook();
+	const records = Array.from({length: deployment.engines}, (_, index): EngineRecord => ({
+		id: `engine-${index}`, service: 'model', host: '127.0.0.1', port: 1, address: `127.0.0.1:${index}`, failureDomain: 'a',
+		slots: deployment.cost.slots, state: 'ready', startedAt: undefined,
+	}));
+	const engines = new Map(records.map((record, index) => [record.id, new EngineModel(queue, deployment.cost, () => pace(index, queue.now))]));
+	const outcomes: Outcome[] = [];
+	for (const request of load) {
+		queue.at(request.at, () => {
+			const run = new RequestRun({
+				request, deployment, queue, book, records, engines,
+			}, outcome => {
+				outcomes.push(outcome);
+			});
+			run.start();
+		});
+	}
+
+	queue.run(Number.POSITIVE_INFINITY, () => false);
+	return summarize(outcomes, deployment);
+}
+
+type RunOptions = {
+	request: LoadRequest;
+	deployment: Deployment;
+	queue: EventQueue;
+	book: LoadBook;
+	records: readonly EngineRecord[];
+	engines: ReadonlyMap<string, EngineModel>;
+};
+
+/** One request from its arrival to its end. */
+class RequestRun {
+	readonly #options: RunOptions;
+	readonly #done: (outcome: Outcome) => void;
+	#lastEventAt: number;
+	#isLate = false;
+	#events = 0;
+	#isOver = false;
+
+	constructor(options: RunOptions, done: (outcome: Outcome) => void) {
+		this.#options = options;
+		this.#done = done;
+		this.#lastEventAt = options.request.at;
+	}
+
+	start(): void {
+		const {request, deployment, queue, book, records} = this.#options;
+		const {kind, tokens, hint} = request;
+		const {now} = queue;
+		const candidates = records.map((record): PromptCandidate => ({
+			record, load: book.view(record.id, now), pace: 1, isAvoided: false, inOwnDomain: true,
+		}));
+		const decision = placePrompt({
+			promptTokens: tokens, answerTokens: hint, target: kind.target, gapTarget: kind.gapTarget, remaining: kind.deadline,
+		}, deployment.cost, candidates);
+		if (decision.kind === 'refuse') {
+			this.#end('refused');
+			return;
+		}
+
+		const key = `bench/${request.id}`;
+		const used = [decision.first, ...decision.readers.map(({record}) => record)];
+		book.place({
+			key, gapTarget: kind.gapTarget, weight: decision.weight, startsAt: now + decision.startIn, expiresAt: now + kind.deadline,
+			parts: used.map((record, index) => ({
+				engineId: record.id, reading: decision.reading, writes: index === 0,
+				memory: index === 0 ? decision.firstMemory : decision.readers[index - 1]!.reserve,
+			})),
+		}, now);
+		const model: ModelRequest = {
+			id: request.id, reading: decision.reading, tokens: tokens / used.length, unread: used.length, context: tokens / used.length,
+			tokensLeft: request.answerTokens, isCancelled: false,
+			onEvent: isLast => {
+				queue.after(wayTime, () => {
+					this.#event(key, isLast);
+				});
+			},
+		};
+		queue.after(decision.startIn + wayTime, () => {
+			for (const [index, record] of used.entries()) {
+				this.#options.engines.get(record.id)!.add(model, index === 0);
+			}
+		});
+		this.#watch(model, key);
+	}
+
+	#event(key: string, isLast: boolean): void {
+		if (this.#isOver) {
+			return;
+		}
+
+		const {request: {at, kind}, book, queue} = this.#options;
+		if (this.#events === 0) {
+			book.begin(key, queue.now);
+			this.#isLate = queue.now - at > kind.target;
+		} else if (queue.now - this.#lastEventAt > kind.gapTarget) {
+			this.#isLate = true;
+		}
+
+		this.#events += 1;
+		this.#lastEventAt = queue.now;
+		if (isLast) {
+			book.end(key, queue.now);
+			this.#end(this.#isLate ? 'late' : 'onTime');
+		}
+	}
+
+	/** The caller gives up after a pause that is too long or at its deadline. */
+	#watch(model: ModelRequest, key: string): void {
+		const {request: {at, kind}, queue, book} = this.#options;
+		const limit = Math.min(at + kind.deadline, this.#lastEventAt + patience(kind));
+		queue.at(limit, () => {
+			if (this.#isOver) {
+				return;
+			}
+
+			if (queue.now >= Math.min(at + kind.deadline, this.#lastEventAt + patience(kind))) {
+				model.isCancelled = true;
+				book.end(key, queue.now);
+				this.#end('lost');
+			} else {
+				this.#watch(model, key);
+			}
+		});
+	}
+
+	#end(kind: Outcome['kind']): void {
+		this.#isOver = true;
+		const {request} = this.#options;
+		const size = sizeFactor(request);
+		const credits = {
+			onTime: request.kind.worth, late: request.kind.lateWorth, refused: 0, lost: 0,
+		};
+		this.#done({
+			request, kind, credit: size * credits[kind], owed: size * request.kind.worth,
+		});
+	}
+}
+
+/** A request's size against the mean of its kind, by the rules of the deployments. */
+function sizeFactor({tokens, answerTokens, kind}: LoadRequest): number {
+	const mean = kind.tokens.mean + (10 * 51 * kind.events.mean);
+	return Math.min(4, 0.3 + (0.7 * (tokens + (10 * answerTokens)) / mean));
+}
+
+/** Length in milliseconds of the spans of which the worst two are told. */
+const span = 5000;
+
+function summarize(outcomes: readonly Outcome[], {kinds}: Deployment): SimulationResult {
+	const spans = new Map<number, Outcome[]>();
+	for (const outcome of outcomes) {
+		const number = Math.floor(outcome.request.at / span);
+		spans.set(number, [...spans.get(number) ?? [], outcome]);
+	}
+
+	const worths = [...spans.values()].map(group => worthOf(group)).toSorted((one, other) => one - other);
+	return {
+		worth: worthOf(outcomes),
+		worst: ((worths[0] ?? 0) + (worths[1] ?? worths[0] ?? 0)) / 2,
+		kinds: Object.fromEntries(kinds.map(kind => [kind.name, resultOf(kind, outcomes)])),
+	};
+}
+
+function resultOf(kind: PromptKind, outcomes: readonly Outcome[]): KindResult {
+	const own = outcomes.filter(({request}) => request.kind === kind);
+	const count = (outcome: Outcome['kind']) => own.filter(one => one.kind === outcome).length;
+	return {
+		asked: own.length, onTime: count('onTime'), late: count('late'), refused: count('refused'), lost: count('lost'), worth: worthOf(own),
+	};
+}
+
+function worthOf(outcomes: readonly Outcome[]): number {
+	const owed = outcomes.reduce((sum, outcome) => sum + outcome.owed, 0);
+	return owed === 0 ? 1 : outcomes.reduce((sum, outcome) => sum + outcome.credit, 0) / owed;
+}
--- a/src/placement/placement-desk.ts
+++ b/src/placement/placement-desk.ts
@@ -103,6 +103,11 @@
 		return placement.key;
 	}
 
+	/** Whether an engine still takes new work. */
+	isReady(service: Service, engineId: string): boolean {
+		return this.#options.engines.ready(service.name).some(({id}) => id === engineId);
+	}
+
 	/** Time in milliseconds until an engine has read what is placed there. */
 	backlog(engineId: string): number {
 		return this.#options.book.view(engineId, performance.now()).backlog;
--- a/src/placement/prompt-placement.ts
+++ b/src/placement/prompt-placement.ts
@@ -12,28 +12,32 @@
 import type {EngineLoadView, Writer} from './load-book.js';
 import {passTime, readingTime} from './reading-time.js';
 
-/** Reading time in milliseconds that gives a prompt the weight of one more short prompt. */
-const weightedReading = 180;
+/** Weight of a prompt: a part for each, and tokens that add one more; the sheets' worth of short, medium and long prompts lies on this line. */
+const leastWeight = 0.6;
+const tokensPerWeight = 7500;
 
-/** Shares of the target between which a first event goes from surely on time to surely late. */
-const surelyOnTime = 0.7;
+/**
+ * Shares of the target between which a first event goes from surely on time to surely late. A long prompt that is read
+ * early leaves its engines to the next one, so that time counts from the start.
+ */
+const surelyOnTime = {short: 0.5, long: 0.1};
 const surelyLate = 1.05;
 
 /** What being later still costs, for a whole deadline, relative to being late. */
-const laterStill = 0.25;
+const laterStill = 0.1;
 
 /** Shares of a pause's target between which a writer goes from undisturbed to disturbed. */
-const undisturbed = 0.75;
-const disturbed = 1.05;
+const undisturbed = 0.9;
+const disturbed = 1.1;
 
 /** What one more engine costs, relative to the prompt's being late: each one may fail the whole reading. */
-const engineRisk = 0.006;
+const engineRisk = 0.001;
 
 /** What an engine that failed of late costs, relative to the prompt's being late. */
 const avoidedCost = 1.5;
 
 /** Cost that keeps the common order where all else is equal, for the whole order. */
-const orderCost = 0.02;
+const orderCost = 0.2;
 
 /** Reading time in milliseconds from which a prompt is read from the end of the order and may be divided. */
 export const longReading = 150;
@@ -45,10 +49,10 @@
 const passesToFirstEvent = 1.5;
 
 /** Places of an engine that are left free for requests that other instances are placing now. */
-const spareSlots = 1;
+const spareSlots = 0;
 
 /** Time in milliseconds that a request waits for a place of a full engine, for each request over its places. */
-const fullWait = 300;
+const fullWait = 100;
 
 /** Share of an engine's memory that may be promised. */
 const memoryShare = 0.97;
@@ -126,9 +130,9 @@
 /** Decides where a prompt goes, or that it cannot be served in time. */
 export function placePrompt(terms: PromptTerms, cost: EngineCost, candidates: readonly PromptCandidate[]): PromptDecision {
 	const whole = readingTime(cost, terms.promptTokens);
-	const weight = 1 + (whole / weightedReading);
+	const weight = leastWeight + (terms.promptTokens / tokensPerWeight);
 	const prompt: Prompt = {
-		...terms, whole, weight, cost, memory: terms.promptTokens + terms.answerTokens,
+		...terms, whole, weight, cost, onTime: whole < longReading ? surelyOnTime.short : surelyOnTime.long, memory: terms.promptTokens + terms.answerTokens,
 	};
 	let best: Place | undefined;
 	for (const count of divisions) {
@@ -164,6 +168,8 @@
 	weight: number;
 	cost: EngineCost;
 	memory: number;
+	/** Share of the target up to which the first event is surely on time. */
+	onTime: number;
 };
 
 /** Time until the engines have read what they have, where requests write beside it. */
@@ -186,7 +192,7 @@
 function divide(prompt: Prompt, candidates: readonly PromptCandidate[], count: number): Place | undefined {
 	const part = prompt.whole / count;
 	// Harm and time are compared by what a later first event costs over the span in which it turns late.
-	const timeOfHarm = prompt.target * (surelyLate - surelyOnTime) / prompt.weight;
+	const timeOfHarm = prompt.target * (surelyLate - prompt.onTime) / prompt.weight;
 	const weighed = candidates
 		.map(candidate => weigh(prompt, candidate, part))
 		.toSorted((one, other) => (one.ready + (one.harm * timeOfHarm)) - (other.ready + (other.harm * timeOfHarm)));
@@ -249,8 +255,8 @@
 }
 
 /** How late a first event at some time is: 0 on time, 1 late, and more for a long time after. */
-function lateness(expected: number, {target, remaining}: Prompt): number {
-	const late = clamp((expected - (surelyOnTime * target)) / ((surelyLate - surelyOnTime) * target));
+function lateness(expected: number, {target, remaining, onTime}: Prompt): number {
+	const late = clamp((expected - (onTime * target)) / ((surelyLate - onTime) * target));
 	return late + (laterStill * expected / Math.max(expected, remaining));
 }
 
--- /dev/null
+++ b/src/serving/__tests__/engine-chooser.test.ts
@@ -0,0 +1,120 @@
+import {performance} from 'node:perf_hooks';
+import fakeTimers from '@sinonjs/fake-timers';
+import test from 'ava';
+import {EngineReputation} from '../../placement/engine-reputation.js';
+import {LoadBook} from '../../placement/load-book.js';
+import {PlacementDesk} from '../../placement/placement-desk.js';
+import {EventLog} from '../../telemetry/log.js';
+import {type Choice, EngineChooser, type ChoiceTerms} from '../engine-chooser.js';
+import type {EngineRecord, Route, Service} from '../model.js';
+
+const service: Service = {
+	name: 'model', connectionLimit: 100,
+	engineCost: {
+		slots: 11, memoryTokens: 315_000, step: 0.85, stepPerRequest: 0.006, stepPerThousandTokens: 0.003, readRate: 177, pairCost: 0.184,
+		stride: 51, usual: {prompt: 11_000, answer: 1600},
+	},
+};
+
+const route: Route = {
+	name: 'reviews', host: 'a', prefix: '/', kind: 'stream', resumable: true, timeout: 15_000, target: 3000, gapTarget: 1000, maximumEngines: 2,
+	priority: 1, anonymous: true, targets: [{service: 'model', weight: 1}],
+};
+
+const terms: ChoiceTerms = {
+	requestId: 'r1', service, route, remaining: 15_000, excluded: new Set(), attempt: 1, signal: new AbortController().signal,
+	facts: {
+		requestId: 'r1', deadline: 15_000, key: undefined, promptTokens: 150_000, maximumAnswerTokens: 800, answerHint: 800, lastEvent: undefined,
+	},
+};
+
+function engine(id: string): EngineRecord {
+	return {
+		id, service: 'model', host: '127.0.0.1', port: 1, address: '127.0.0.1:1', failureDomain: 'a', slots: 11, state: 'ready', startedAt: undefined,
+	};
+}
+
+/** A chooser over two engines that read for a while and write beside it. */
+function busyChooser() {
+	const ready = [engine('one'), engine('two')];
+	const book = new LoadBook();
+	for (const {id} of ready) {
+		book.place({
+			key: `other/${id}`, gapTarget: 250, weight: 1, startsAt: performance.now(), expiresAt: performance.now() + 60_000,
+			parts: [{
+				engineId: id, reading: 2000, memory: 100, writes: true,
+			}],
+		}, performance.now());
+	}
+
+	const none = () => undefined;
+	const desk = new PlacementDesk({
+		engines: {ready: () => ready}, book, reputation: new EngineReputation(), failureDomain: 'a', origin: 'self',
+		news: {
+			placed: none, began: none, ended: none, avoids: none, paced: none,
+		},
+	});
+	const log = new EventLog({write: none});
+	const chooser = new EngineChooser({
+		desk, log, onMisdirected: none,
+		reservations: {
+			log, memoryRelease: 4000, longestHold: 20_000, orders: {reserve: async () => true, release: async () => true},
+		},
+	});
+	return {chooser, ready, book};
+}
+
+function releaseOf(choice: Choice): () => void {
+	return choice.kind === 'chosen' ? choice.engine.release : () => undefined;
+}
+
+test.serial('a long prompt is held until its engines have read what they had', async t => {
+	const clock = fakeTimers.install({toFake: ['performance', 'setTimeout', 'clearTimeout']});
+	t.teardown(() => {
+		clock.uninstall();
+	});
+	const {chooser} = busyChooser();
+	let chosenAt: number | undefined;
+	void chooser.choose(terms).then(() => {
+		chosenAt = performance.now();
+	});
+
+	await clock.tickAsync(1900);
+	t.is(chosenAt, undefined);
+	await clock.tickAsync(200);
+	t.true((chosenAt ?? 0) >= 1900);
+});
+
+test.serial('a held prompt does not go to an engine that left meanwhile', async t => {
+	const clock = fakeTimers.install({toFake: ['performance', 'setTimeout', 'clearTimeout', 'setInterval', 'clearInterval']});
+	t.teardown(() => {
+		clock.uninstall();
+	});
+	const {chooser, ready} = busyChooser();
+	const choice = chooser.choose(terms);
+	await clock.tickAsync(1000);
+	ready.splice(0, 1);
+	await clock.tickAsync(5000);
+
+	const chosen = await choice;
+	t.like(chosen, {kind: 'chosen', engine: {record: {id: 'two'}, readers: []}});
+});
+
+test.serial('a held prompt whose caller leaves is let go at once', async t => {
+	const clock = fakeTimers.install({toFake: ['performance', 'setTimeout', 'clearTimeout']});
+	t.teardown(() => {
+		clock.uninstall();
+	});
+	const {chooser, book} = busyChooser();
+	const over = new AbortController();
+	const choice = chooser.choose({...terms, signal: over.signal});
+	await clock.tickAsync(100);
+	over.abort();
+	const chosen = await choice;
+
+	t.is(chosen.kind, 'chosen');
+	t.is(book.size, 3);
+	releaseOf(chosen)();
+
+	t.is(book.size, 2);
+});
--- a/src/serving/engine-chooser.ts
+++ b/src/serving/engine-chooser.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import {performance} from 'node:perf_hooks';
 import type {ErrorCode} from '../errors/catalogue.js';
 import type {PlacementDesk} from '../placement/placement-desk.js';
 import {patience, type PromptDecision} from '../placement/prompt-placement.js';
@@ -62,8 +63,8 @@
 	onMisdirected: (engineId: string) => void;
 };
 
-/** Tries to set memory aside before a prompt is refused. */
-const reservationTries = 3;
+/** Placements that may fall through, for want of memory or because an engine leaves, before a prompt is refused. */
+const placementTries = 4;
 
 /** Retry-After in milliseconds where no engine is known; entries of engines come every second or so. */
 const noEngineRetry = 500;
@@ -147,14 +148,17 @@
 		const {route, facts, service, remaining, requestId} = terms;
 		const {desk, log} = this.#options;
 		const excluded = new Set(terms.excluded);
+		const arrivedAt = performance.now();
 		const promptTerms = {
 			promptTokens,
 			answerTokens: Math.min(facts.maximumAnswerTokens > 0 ? facts.maximumAnswerTokens : Number.POSITIVE_INFINITY, facts.answerHint ?? cost.usual.answer),
 			target: route.target,
 			gapTarget: route.gapTarget ?? Number.POSITIVE_INFINITY,
-			remaining,
+			get remaining() {
+				return remaining - (performance.now() - arrivedAt);
+			},
 		};
-		for (let tries = 0; tries < reservationTries; tries++) {
+		for (let tries = 0; tries < placementTries; tries++) {
 			const decision = desk.decidePrompt(service, cost, promptTerms, excluded);
 			this.#log(terms, promptTokens, decision);
 			if (decision.kind === 'refuse') {
@@ -164,7 +168,7 @@
 			}
 
 			const key = desk.place(partsOf(decision), {
-				gapTarget: promptTerms.gapTarget, weight: decision.weight, remaining, startIn: decision.startIn,
+				gapTarget: promptTerms.gapTarget, weight: decision.weight, remaining: promptTerms.remaining, startIn: decision.startIn,
 			});
 			const reservations = new Reservations(requestId, this.#options.reservations);
 			const wanted = decision.readers.filter(({reserve}) => reserve > 0).map(({record, reserve}) => ({engine: record, tokens: reserve}));
@@ -176,6 +180,16 @@
 			}
 
 			await hold(decision.startIn, terms.signal); // eslint-disable-line no-await-in-loop
+			const left = [decision.first, ...decision.readers.map(({record}) => record)].find(({id}) => !desk.isReady(service, id));
+			if (left) {
+				log.info('placement.withdrawn', {
+					request: requestId, engine: left.id, reason: 'left while the request was held', held: Math.round(decision.startIn),
+				});
+				reservations.release();
+				desk.end(key);
+				continue;
+			}
+
 			return {
 				kind: 'chosen', engine: this.#chosenPrompt({
 					terms, cost, promptTokens, decision, key, reservations, ids: held.ids,
@@ -183,9 +197,9 @@
 			};
 		}
 
-		log.warn('placement.refused', {request: requestId, service: service.name, reason: 'no-memory'});
+		log.warn('placement.refused', {request: requestId, service: service.name, reason: 'no-placement-held'});
 		return {
-			kind: 'refused', code: '3004', reason: 'no memory could be set aside', retryAfter: noEngineRetry,
+			kind: 'refused', code: '3004', reason: 'no engine kept its memory or stayed', retryAfter: noEngineRetry,
 		};
 	}
 
