feat(watch): a few instances follow the store, the others learn from them; turn away what would be late

Ruled out: longer feeds alone (each change wakes every feed). Change: TableCopy compares tables by a sum; five elected instances of a large fleet follow the store, tell changes in their news and serve whole tables over TCP; an instance that hears no follower for a second follows by itself. The writing engine needs memory and a place; the wait for a place follows from the usual answer.

--- a/bench/placement/engine-model.ts
+++ b/bench/placement/engine-model.ts
@@ -42,12 +42,16 @@
 		this.#pace = pace;
 	}
 
-	/** Takes a request, or a part of its reading. */
-	add(request: ModelRequest, writes: boolean): void {
+	/** Takes a request, or a part of its reading. @returns false where the engine is full. */
+	add(request: ModelRequest, writes: boolean): boolean {
 		const part = {request, readingLeft: request.reading, writes};
 		if (writes && this.#places <= 0) {
+			if (this.#waiting.length >= this.#cost.slots * queueFactor) {
+				return false;
+			}
+
 			this.#waiting.push(part);
-			return;
+			return true;
 		}
 
 		// Parts of divided prompts go ahead of other reading.
@@ -58,6 +62,7 @@
 		}
 
 		this.#begin();
+		return true;
 	}
 
 	/** Places that are free for requests that write. */
@@ -132,5 +137,8 @@
 	}
 }
 
+/** Requests that wait at an engine for each that it runs, by the deployments' files. */
+const queueFactor = 2;
+
 /** Prompt tokens read in one step, by the published speeds of the deployments. */
 const chunk = 2048;
--- a/src/commands/front.ts
+++ b/src/commands/front.ts
@@ -5,9 +5,9 @@
  */
 import {Buffer} from 'node:buffer';
 import process from 'node:process';
-import {decodeConfiguration} from '../../platform/configuration.js';
+import {decodeConfiguration, identifyConfiguration} from '../../platform/configuration.js';
 import {PlatformEngineOrders} from '../../platform/engine-orders.js';
-import {decodeEngineRow, decodeRowValue} from '../../platform/engine-row.js';
+import {decodeEngineRow, decodeRowValue, identifyEngine} from '../../platform/engine-row.js';
 import {PlatformProtocol} from '../../platform/protocol.js';
 import {loadPlatformSettings, settingsPath} from '../../platform/settings.js';
 import {StoreClient} from '../../platform/store-client.js';
@@ -47,8 +47,8 @@
 		peerPort: settings.internalPorts.first,
 		store: new StoreClient(settings.store),
 		tables: {
-			configuration: {...configurationRow, decode: value => decodeConfiguration(decodeRowValue(value))},
-			engines: {table: engineTable, decode: decodeEngineRow},
+			configuration: {...configurationRow, decode: value => decodeConfiguration(decodeRowValue(value)), identify: identifyConfiguration},
+			engines: {table: engineTable, decode: decodeEngineRow, identify: identifyEngine},
 			instances: {table: instanceTable, decode: value => Buffer.from(value, 'base64').toString('utf8')},
 		},
 		protocol: new PlatformProtocol(),
--- a/src/peers/news.ts
+++ b/src/peers/news.ts
@@ -5,6 +5,9 @@
  */
 import {Encoder} from 'cbor-x';
 import type {Placement} from '../placement/load-book.js';
+import type {RowChange} from '../watch/row-source.js';
+import type {TableState} from '../watch/table-copy.js';
+import type {SpreadNews} from '../watch/table-spread.js';
 
 /** Version of the messages. */
 const version = 1;
@@ -18,10 +21,8 @@
 export type News = {
 	/** Name and start of the sender; begins the keys of its placements. */
 	origin: string;
-	/** Version of the configuration that is in force there. */
-	configuration: number;
-	/** Sum over the engines that it knows, to compare with one's own. */
-	engines: number;
+	/** What it knows of the store's tables. */
+	spread: SpreadNews;
 	/** Whether the sender asks for an answer, because it has just begun or lost touch. */
 	asks: boolean;
 	placed: readonly Placement[];
@@ -42,8 +43,7 @@
 	return codec.encode([
 		version,
 		news.origin,
-		news.configuration,
-		news.engines,
+		encodeSpread(news.spread),
 		news.asks,
 		news.placed.map(({key, parts, gapTarget, weight, startsAt, expiresAt}) => [
 			Number(key.slice(prefix)),
@@ -72,7 +72,7 @@
 /** @throws {NewsError} Where the bytes are no message of this version. */
 export function decodeNews(bytes: Uint8Array, now: number): News {
 	try {
-		const [found, origin, configuration, engines, asks, placed, began, ended, avoided, paced, peers] = list(codec.decode(bytes));
+		const [found, origin, spread, asks, placed, began, ended, avoided, paced, peers] = list(codec.decode(bytes));
 		if (found !== version) {
 			throw new NewsError(`version ${String(found)}`);
 		}
@@ -80,8 +80,7 @@
 		const sender = text(origin);
 		return {
 			origin: sender,
-			configuration: number(configuration),
-			engines: number(engines),
+			spread: decodeSpread(list(spread)),
 			asks: asks === true,
 			placed: list(placed).map(entry => decodePlacement(sender, list(entry), now)),
 			began: list(began).map(sequence => `${sender}/${number(sequence)}`),
@@ -95,6 +94,47 @@
 	}
 }
 
+function encodeSpread({follows, reachesStore, afterOutage, tables, deltas}: SpreadNews): unknown[] {
+	return [
+		follows,
+		reachesStore,
+		afterOutage,
+		tables.map(({asOf, sum}) => [asOf, sum]),
+		deltas.map(({table, before, after, rows}) => [
+			table, before, [after.asOf, after.sum], rows.map(({key, value, removed}) => [key, removed ? false : value ?? '']),
+		]),
+	];
+}
+
+function decodeSpread([follows, reachesStore, afterOutage, tables, deltas]: readonly unknown[]): SpreadNews {
+	const [first, second] = list(tables).map(state => decodeState(state));
+	if (!first || !second) {
+		throw new NewsError('the state of a table is missing');
+	}
+
+	return {
+		follows: follows === true,
+		reachesStore: reachesStore === true,
+		afterOutage: afterOutage === true,
+		tables: [first, second],
+		deltas: list(deltas).map(delta => {
+			const [table, before, after, rows] = list(delta);
+			return {
+				table: table === 0 ? 0 : 1, before: number(before), after: decodeState(after), rows: list(rows).map(row => decodeRow(list(row))),
+			};
+		}),
+	};
+}
+
+function decodeState(state: unknown): TableState {
+	const [asOf, sum] = list(state);
+	return {asOf: number(asOf), sum: number(sum)};
+}
+
+function decodeRow([key, value]: readonly unknown[]): RowChange {
+	return value === false ? {key: text(key), value: undefined, removed: true} : {key: text(key), value: text(value), removed: false};
+}
+
 function decodePlacement(origin: string, [sequence, gapTarget, weight, lifetime, startIn, parts]: readonly unknown[], now: number): Placement {
 	return {
 		key: `${origin}/${number(sequence)}`,
--- a/src/peers/peer-news.ts
+++ b/src/peers/peer-news.ts
@@ -13,6 +13,10 @@
 import type {LoadBook, Placement} from '../placement/load-book.js';
 import type {PlacementNews} from '../placement/placement-desk.js';
 import type {EventLog} from '../telemetry/log.js';
+import type {DutyPeer} from '../watch/store-duty.js';
+import type {TableDelta} from '../watch/table-copy.js';
+import type {SpreadNews} from '../watch/table-spread.js';
+import type {TableNumber} from './table-exchange.js';
 import {decodeNews, encodeNews, type News} from './news.js';
 
 /** Times in milliseconds for which placements and all other news are gathered. */
@@ -20,10 +24,10 @@
 const otherGather = 25;
 
 /** Time in milliseconds between two heartbeats. */
-const heartbeatInterval = 1000;
+const heartbeatInterval = 500;
 
 /** Peers that one heartbeat goes to. */
-const heartbeatPeers = 8;
+const heartbeatPeers = 6;
 
 /** Heartbeats without any message after which a peer's work is forgotten, and after which the peer is. */
 const silentHeartbeats = 4;
@@ -32,11 +36,8 @@
 /** Peers named in an answer to one that asks. */
 const namedPeers = 24;
 
-/** What is told of this instance with every message. */
-export type OwnState = {
-	configuration: number;
-	engines: number;
-};
+/** Greatest size in bytes of rows in one message; larger changes are fetched. */
+const maximumDelta = 8192;
 
 /** What the task works with. */
 export type PeerNewsOptions = {
@@ -48,15 +49,14 @@
 	book: LoadBook;
 	reputation: EngineReputation;
 	log: EventLog;
-	own: () => OwnState;
-	/** Told of each message. */
-	onState: (ip: string, state: OwnState) => void;
+	/** What goes with each message. */
+	spread: () => Omit<SpreadNews, 'deltas'>;
+	/** Told of what each message says of tables. */
+	onSpread: (ip: string, spread: SpreadNews) => void;
 };
 
-type Peer = {
-	ip: string;
+type Peer = DutyPeer & {
 	origin: string;
-	heardAt: number;
 	isSilent: boolean;
 };
 
@@ -86,9 +86,9 @@
 		return this.#peers.size;
 	}
 
-	/** Addresses of peers heard of lately. */
-	get addresses(): string[] {
-		return [...this.#peers.keys()];
+	/** Peers that are not silent. */
+	get alive(): DutyPeer[] {
+		return [...this.#peers.values()].filter(({isSilent}) => !isSilent);
 	}
 
 	async start(): Promise<void> {
@@ -123,6 +123,12 @@
 		}
 	}
 
+	/** Tells all peers at once of changes that this instance learned from the store. */
+	changed(table: TableNumber, delta: TableDelta): void {
+		const size = delta.rows.reduce((sum, {key, value}) => sum + key.length + (value?.length ?? 0), 0);
+		this.#sendTo([...this.#peers.keys()], {}, size <= maximumDelta ? [{...delta, table}] : []);
+	}
+
 	placed(placement: Placement): void {
 		this.#placed.push(placement);
 		this.#plan(true);
@@ -173,14 +179,14 @@
 		this.#sendTo([...this.#peers.keys()], news);
 	}
 
-	#sendTo(addresses: readonly string[], parts: Partial<News>): void {
+	#sendTo(addresses: readonly string[], parts: Partial<Omit<News, 'spread'>>, deltas: SpreadNews['deltas'] = []): void {
 		if (addresses.length === 0) {
 			return;
 		}
 
-		const {origin, own, port, log} = this.#options;
+		const {origin, spread, port, log} = this.#options;
 		const bytes = encodeNews({
-			origin, ...own(), asks: false, placed: [], began: [], ended: [], avoided: [], paced: [], peers: [], ...parts,
+			origin, spread: {...spread(), deltas}, asks: false, placed: [], began: [], ended: [], avoided: [], paced: [], peers: [], ...parts,
 		}, performance.now());
 		for (const address of addresses) {
 			this.#socket.send(bytes, port, address, error => {
@@ -196,7 +202,8 @@
 		this.#options.book.expire(now);
 		this.#dropSilent(now);
 		const all = [...this.#peers.keys()];
-		const turn = Math.min(heartbeatPeers, all.length);
+		// All others rely on the instances that follow the store.
+		const turn = this.#options.spread().follows ? all.length : Math.min(heartbeatPeers, all.length);
 		this.#sendTo(Array.from({length: turn}, (_, index) => all[(this.#next + index) % all.length]!), {});
 		this.#next = all.length === 0 ? 0 : (this.#next + turn) % all.length;
 		for (const [address, times] of this.#asked) {
@@ -233,7 +240,7 @@
 			const news = decodeNews(bytes, now);
 			this.#heard(ip, news, now);
 			this.#take(news, now);
-			this.#options.onState(ip, news);
+			this.#options.onSpread(ip, news.spread);
 			if (news.asks) {
 				this.#sendTo([ip], {peers: [...this.#peers.keys()].slice(0, namedPeers)});
 			}
@@ -244,12 +251,12 @@
 		}
 	}
 
-	#heard(ip: string, {origin}: News, now: number): void {
+	#heard(ip: string, {origin, spread: {follows, reachesStore}}: News, now: number): void {
 		this.#asked.delete(ip);
 		const peer = this.#peers.get(ip);
 		if (!peer) {
 			this.#peers.set(ip, {
-				ip, origin, heardAt: now, isSilent: false,
+				ip, origin, heardAt: now, isSilent: false, follows, reachesStore,
 			});
 			this.#options.log.info('peer.known', {peer: ip, origin, peers: this.#peers.size});
 			return;
@@ -267,6 +274,8 @@
 
 		peer.heardAt = now;
 		peer.isSilent = false;
+		peer.follows = follows;
+		peer.reachesStore = reachesStore;
 	}
 
 	#take({placed, began, ended, avoided, paced}: News, now: number): void {
--- a/src/placement/prompt-placement.ts
+++ b/src/placement/prompt-placement.ts
@@ -48,11 +48,8 @@
 /** Passes until the first event of a prompt that is read: the one under way and its own. */
 const passesToFirstEvent = 1.5;
 
-/** Places of an engine that are left free for requests that other instances are placing now. */
-const spareSlots = 0;
-
-/** Time in milliseconds that a request waits for a place of a full engine, for each request over its places. */
-const fullWait = 100;
+/** Factor on an engine's places beyond which its queue counts as full; engines queue a few more than they run. */
+const fullQueue = 2;
 
 /** Share of an engine's memory that may be promised. */
 const memoryShare = 0.97;
@@ -76,6 +73,8 @@
 	gapTarget: number;
 	/** Time that is left of the request. */
 	remaining: number;
+	/** Whether the caller was turned away before, so that its answer is late in any case. */
+	isReturning: boolean;
 };
 
 /** One engine that may be chosen. */
@@ -112,13 +111,22 @@
 	loss: number;
 } | {
 	kind: 'refuse';
-	reason: 'no-engine' | 'too-late' | 'does-not-fit';
+	reason: 'no-engine' | 'too-late' | 'overloaded' | 'does-not-fit';
 	/** Time after which asking again makes sense. */
 	retryAfter: number;
 };
 
 type Place = Extract<PromptDecision, {kind: 'place'}>;
 
+/**
+ * Factors on the target beyond which a prompt is turned away while the fleet is overloaded: queueing it would make it
+ * late, and those behind it too. One that comes back is late in any case and may wait longer.
+ */
+const shedLimits = {fresh: 0.8, returning: 2};
+
+/** Least Retry-After of such a prompt, as a factor on its target: a burst is over by then, or the caller's third of its time. */
+const shedRetry = 10;
+
 /** Least Retry-After in milliseconds; work placed meanwhile is known by then. */
 const shortestRetry = 100;
 
@@ -155,6 +163,10 @@
 		return {kind: 'refuse', reason: 'too-late', retryAfter: retryAfter(terms, best.expected - (limit / 2))};
 	}
 
+	if (best.expected > (terms.isReturning ? shedLimits.returning : shedLimits.fresh) * terms.target) {
+		return {kind: 'refuse', reason: 'overloaded', retryAfter: retryAfter(terms, Math.max(best.expected, shedRetry * terms.target))};
+	}
+
 	return best;
 }
 
@@ -183,6 +195,8 @@
 	candidate: PromptCandidate;
 	/** Expected time until its part is read and the pass is over. */
 	ready: number;
+	/** Time that a request waits for one of its places to write; infinite where its queue is full. */
+	placeWait: number;
 	/** Cost of using it, apart from the time. */
 	harm: number;
 	free: number;
@@ -193,18 +207,16 @@
 	const part = prompt.whole / count;
 	// Harm and time are compared by what a later first event costs over the span in which it turns late.
 	const timeOfHarm = prompt.target * (surelyLate - prompt.onTime) / prompt.weight;
-	const weighed = candidates
-		.map(candidate => weigh(prompt, candidate, part))
-		.toSorted((one, other) => (one.ready + (one.harm * timeOfHarm)) - (other.ready + (other.harm * timeOfHarm)));
-	const chosen = weighed.slice(0, count);
-	const memory = shareMemory(prompt, chosen, weighed);
+	const keyOf = ({ready, harm}: Weighed) => ready + (harm * timeOfHarm);
+	const weighed = candidates.map(candidate => weigh(prompt, candidate, part)).toSorted((one, other) => keyOf(one) - keyOf(other));
+	const memory = shareMemory(prompt, weighed, count, keyOf);
 	if (!memory) {
 		return undefined;
 	}
 
 	const {first, readers} = memory;
 	const used = [first, ...readers.map(reader => reader.weighed)];
-	const expected = Math.max(...used.map(({ready}) => ready));
+	const expected = Math.max(first.ready + first.placeWait, ...used.map(({ready}) => ready));
 	const harm = used.reduce((sum, one) => sum + one.harm, 0);
 	return {
 		kind: 'place',
@@ -220,10 +232,10 @@
 }
 
 function weigh({cost, weight, whole, memory}: Prompt, {record, load, pace, isAvoided, inOwnDomain}: PromptCandidate, part: number): Weighed {
-	const slots = Math.min(record.slots, cost.slots) - spareSlots;
+	const slots = Math.min(record.slots, cost.slots);
 	const pass = passTime(cost, load.running + 1, load.memory + memory);
-	const over = Math.max(0, load.running + 1 - slots);
-	const ready = (pace * (load.backlog + part + (passesToFirstEvent * pass))) + (over * fullWait);
+	const placeTime = cost.usual.answer / cost.stride * pass / slots;
+	const ready = pace * (load.backlog + part + (passesToFirstEvent * pass));
 	const isHeld = whole >= longReading;
 	const before = pass + load.longestPart;
 	const after = isHeld ? pass + Math.max(load.longestPart, part) : before + part;
@@ -233,6 +245,7 @@
 			record, load, pace, isAvoided, inOwnDomain,
 		},
 		ready,
+		placeWait: load.running >= slots * fullQueue ? Number.POSITIVE_INFINITY : Math.max(0, load.running + 1 - slots) * placeTime * pace,
 		harm: harmTo(load.writers, before, after)
 			+ (isAvoided ? weight * avoidedCost : 0)
 			+ (orderCost * (whole < longReading ? order : 1 - order)),
@@ -270,31 +283,43 @@
 	readers: Array<{weighed: Weighed; reserve: number}>;
 };
 
-/** Finds room for a prompt: at one engine if it fits, otherwise with reservations at engines that read parts of it. */
-function shareMemory({memory, answerTokens}: Prompt, chosen: readonly Weighed[], all: readonly Weighed[]): SharedMemory | undefined {
-	const roomy = chosen.find(({free}) => free >= memory);
-	if (roomy) {
-		return {
-			first: roomy, firstMemory: memory, readers: chosen.filter(one => one !== roomy).map(weighed => ({weighed, reserve: 0})),
-		};
+/**
+ * Finds room for a prompt: at one engine if it fits, otherwise with reservations at engines that read parts of it.
+ *
+ * @param weighed - All engines, the best one to read first.
+ * @param count - Number of engines that read.
+ */
+function shareMemory(prompt: Prompt, weighed: readonly Weighed[], count: number, keyOf: (one: Weighed) => number): SharedMemory | undefined {
+	const roomy = weighed.filter(({free, placeWait}) => free >= prompt.memory && Number.isFinite(placeWait));
+	const cost = (one: Weighed) => keyOf(one) + one.placeWait;
+	const [first] = roomy.toSorted((one, other) => cost(one) - cost(other));
+	if (!first) {
+		return reserveMemory(prompt, weighed, count);
 	}
 
-	const byRoom = chosen.toSorted((one, other) => other.free - one.free);
-	const [first, ...others] = byRoom;
+	return {
+		first, firstMemory: prompt.memory, readers: weighed.filter(one => one !== first).slice(0, count - 1).map(one => ({weighed: one, reserve: 0})),
+	};
+}
+
+/** Divides a prompt that no engine's memory holds. */
+function reserveMemory({memory, answerTokens}: Prompt, weighed: readonly Weighed[], count: number): SharedMemory | undefined {
+	const chosen = weighed.slice(0, count);
+	const [first, ...others] = chosen.filter(({placeWait}) => Number.isFinite(placeWait)).toSorted((one, other) => other.free - one.free);
 	if (!first || first.free < answerTokens) {
 		return undefined;
 	}
 
 	let missing = memory - first.free;
 	const readers: SharedMemory['readers'] = [];
-	for (const weighed of [...others, ...all.filter(one => !chosen.includes(one))]) {
-		if (missing <= 0 && !chosen.includes(weighed)) {
+	for (const one of [...others, ...weighed.slice(count)]) {
+		if (missing <= 0 && !chosen.includes(one)) {
 			break;
 		}
 
-		const reserve = Math.max(0, Math.min(missing, Math.floor(weighed.free)));
-		if (reserve > 0 || chosen.includes(weighed)) {
-			readers.push({weighed, reserve: Math.ceil(reserve)});
+		const reserve = Math.ceil(Math.max(0, Math.min(missing, Math.floor(one.free))));
+		if (reserve > 0 || chosen.includes(one)) {
+			readers.push({weighed: one, reserve});
 			missing -= reserve;
 		}
 	}
--- a/src/serving/engine-chooser.ts
+++ b/src/serving/engine-chooser.ts
@@ -89,6 +89,14 @@
 /** Prompt tokens up to which a prompt counts as short for its rank. */
 const shortPrompt = 25_000;
 
+/** Numbers of the errors with which prompts are refused. */
+const refusalCodes: Readonly<Record<Extract<PromptDecision, {kind: 'refuse'}>['reason'], ErrorCode>> = {
+	'no-engine': '3005', 'too-late': '3004', overloaded: '3002', 'does-not-fit': '3002',
+};
+
+/** Share of a route's time below which a caller's deadline tells that it was turned away before. */
+const returningShare = 0.95;
+
 /** Weight of a request without a prompt. */
 const serviceWeight = 1;
 
@@ -154,6 +162,7 @@
 			answerTokens: Math.min(facts.maximumAnswerTokens > 0 ? facts.maximumAnswerTokens : Number.POSITIVE_INFINITY, facts.answerHint ?? cost.usual.answer),
 			target: route.target,
 			gapTarget: route.gapTarget ?? Number.POSITIVE_INFINITY,
+			isReturning: terms.attempt > 1 || (facts.deadline ?? 0) < route.timeout * returningShare,
 			get remaining() {
 				return remaining - (performance.now() - arrivedAt);
 			},
@@ -163,7 +172,7 @@
 			this.#log(terms, promptTokens, decision);
 			if (decision.kind === 'refuse') {
 				return {
-					kind: 'refused', code: decision.reason === 'no-engine' ? '3005' : '3004', reason: decision.reason, retryAfter: decision.retryAfter,
+					kind: 'refused', code: refusalCodes[decision.reason], reason: decision.reason, retryAfter: decision.retryAfter,
 				};
 			}
 
--- a/src/serving/serving-instance.ts
+++ b/src/serving/serving-instance.ts
@@ -8,6 +8,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {errorMessage} from '../errors/errors.js';
 import {PeerNews} from '../peers/peer-news.js';
+import {fetchTable, type TableNumber, TableServer} from '../peers/table-exchange.js';
 import {EngineReputation} from '../placement/engine-reputation.js';
 import {LoadBook} from '../placement/load-book.js';
 import {PlacementDesk} from '../placement/placement-desk.js';
@@ -16,7 +17,9 @@
 import {ConfigurationWatch} from '../watch/configuration-watch.js';
 import {EngineCatalogue} from '../watch/engine-catalogue.js';
 import type {RowSource} from '../watch/row-source.js';
-import {TableWatch} from '../watch/table-watch.js';
+import {TableCopy} from '../watch/table-copy.js';
+import {type SpreadTable, TableSpread} from '../watch/table-spread.js';
+import {type TableListener, TableWatch} from '../watch/table-watch.js';
 import {Admission, type ServingState} from './admission.js';
 import {CallerListener} from './caller-listener.js';
 import {EngineChooser} from './engine-chooser.js';
@@ -29,8 +32,8 @@
 
 /** Tables of the platform's store and how their rows are decoded. */
 export type StoreTables = {
-	configuration: {table: string; key: string; decode: (value: string) => ServingConfiguration};
-	engines: {table: string; decode: (id: string, value: string) => EngineRecord};
+	configuration: {table: string; key: string; decode: (value: string) => ServingConfiguration; identify: (key: string, value: string) => string};
+	engines: {table: string; decode: (id: string, value: string) => EngineRecord; identify: (key: string, value: string) => string};
 	/** Rows that instances write of themselves, their IP numbers. */
 	instances: {table: string; decode: (value: string) => string};
 };
@@ -70,12 +73,8 @@
 	linesDropped: () => number;
 };
 
-/** Shortest and longest time in milliseconds that a feed waits: with few instances, another one notices a silent connection later. */
-const shortestFeedWait = 5000;
-const longestFeedWait = 30_000;
-
-/** Time in milliseconds of waiting that each further instance adds. */
-const feedWaitPerInstance = 1000;
+/** Longest time in milliseconds that a feed waits; a connection that went silent is noticed by the next call of another follower, well within it. */
+const feedWait = 10_000;
 
 /** Time in milliseconds after SIGTERM in which callers are still sent here: two questions for readiness and a margin. */
 const rotationTime = 2500;
@@ -98,8 +97,9 @@
 	readonly #reputation = new EngineReputation();
 	readonly #configuration: ConfigurationWatch;
 	readonly #engines: EngineCatalogue;
-	readonly #configurationTable: TableWatch;
-	readonly #engineTable: TableWatch;
+	readonly #tables: readonly [SpreadTable, SpreadTable];
+	readonly #spread: TableSpread;
+	readonly #tableServer: TableServer;
 	readonly #peers: PeerNews;
 	readonly #admission: Admission;
 	readonly #listener: CallerListener;
@@ -123,20 +123,25 @@
 				this.#engineChanged(id, record);
 			},
 		});
-		const feedWait = () => Math.min(longestFeedWait, shortestFeedWait + (feedWaitPerInstance * this.#peers.size));
-		this.#configurationTable = new TableWatch({
-			source: store, table: tables.configuration.table, listener: this.#configuration, feedWait,
-		});
-		this.#engineTable = new TableWatch({
-			source: store, table: tables.engines.table, listener: this.#engines, feedWait,
-		});
+		const spread = () => this.#spread.news;
 		this.#peers = new PeerNews({
-			ip, port: options.peerPort, origin, book: this.#book, reputation: this.#reputation, log,
-			own: () => ({configuration: this.#configuration.version, engines: this.#engines.size}),
-			onState() {
-				// Compared with the instance's own state once instances tell each other of changes.
+			ip, port: options.peerPort, origin, book: this.#book, reputation: this.#reputation, log, spread,
+			onSpread: (peer, news) => {
+				this.#spread.heard(peer, news);
+			},
+		});
+		const configurationTable = this.#table(0, tables.configuration.table, this.#configuration, tables.configuration.identify);
+		const engineTable = this.#table(1, tables.engines.table, this.#engines, tables.engines.identify);
+		this.#tables = [configurationTable, engineTable];
+		this.#spread = new TableSpread({
+			tables: this.#tables, ip, log, peers: () => this.#peers.alive,
+			fetch: async (peer, table) => fetchTable(peer, options.peerPort, table),
+			onOutage: () => {
+				this.#engines.expectLapses();
 			},
+			isAfterOutage: () => this.#engines.isAfterOutage,
 		});
+		this.#tableServer = new TableServer(table => ({state: this.#tables[table].copy.state, rows: this.#tables[table].copy.rows}));
 		const desk = new PlacementDesk({
 			engines: this.#engines, book: this.#book, reputation: this.#reputation, news: this.#peers, failureDomain, origin,
 		});
@@ -168,9 +173,9 @@
 
 	async start(): Promise<void> {
 		const {log, callers, readiness, metrics, instance, ip} = this.#options;
-		void this.#configurationTable.run();
-		void this.#engineTable.run();
+		this.#spread.start();
 		await this.#peers.start();
+		await this.#tableServer.listen(ip, this.#options.peerPort);
 		await this.#listener.listen(callers);
 		await this.#serve(readiness, (_request, response) => {
 			response.writeHead(this.isReady ? 200 : 503, ['Content-Length', '0']);
@@ -211,8 +216,8 @@
 	}
 
 	#close(): void {
-		this.#configurationTable.close();
-		this.#engineTable.close();
+		this.#spread.close();
+		this.#tableServer.close();
 		this.#engines.close();
 		this.#peers.close();
 		this.#options.store.close();
@@ -238,6 +243,19 @@
 		}
 	}
 
+	#table(number: TableNumber, table: string, listener: TableListener, identify: (key: string, value: string) => string): SpreadTable {
+		const copy = new TableCopy({
+			listener, identify,
+			onChanged: delta => {
+				this.#peers.changed(number, delta);
+			},
+		});
+		const watch = new TableWatch({
+			source: this.#options.store, table, listener: copy, feedWait: () => feedWait, isHelped: () => this.#peers.alive.some(({reachesStore}) => reachesStore),
+		});
+		return {name: table, copy, watch};
+	}
+
 	#engineChanged(id: string, record: EngineRecord | undefined): void {
 		if (record === undefined || record.state === 'ready') {
 			this.#book.forgetEngine(id);
@@ -267,7 +285,7 @@
 			engines: () => this.#engines.size,
 			peers: () => this.#peers.size,
 			placements: () => this.#book.size,
-			storeAge: () => Math.max(this.#configurationTable.age, this.#engineTable.age) / 1000,
+			storeAge: () => Math.max(...this.#tables.map(({watch}) => watch.age)) / 1000,
 			linesDropped: this.#options.linesDropped,
 		});
 	}
--- a/src/watch/engine-catalogue.ts
+++ b/src/watch/engine-catalogue.ts
@@ -81,6 +81,18 @@
 		this.#options.log.warn('store.lost', {table: 'engines', known: this.#engines.size, reason});
 	}
 
+	/** Whether entries may be missing because they lapsed in an outage. */
+	get isAfterOutage(): boolean {
+		return this.#isOutage;
+	}
+
+	/** Another instance has just been through an outage: entries that go missing now may have lapsed in it. */
+	expectLapses(): void {
+		if (!this.#isOutage) {
+			this.#beginGrace();
+		}
+	}
+
 	/** Stops using an engine whose address another one has taken. */
 	forget(id: string, reason: string): void {
 		if (this.#engines.has(id)) {
--- a/src/watch/table-watch.ts
+++ b/src/watch/table-watch.ts
@@ -12,11 +12,14 @@
 const firstRetry = 100;
 const longestRetry = 1000;
 
+/** The same while other instances reach the store and tell what changes; every refused call costs as much as an answered one. */
+const patientRetry = 3000;
+
 /** Factor between two such times. */
 const retryGrowth = 2;
 
 /** Time in milliseconds in which further changes are gathered before the feed is asked again. */
-const gatherTime = 60;
+const gatherTime = 150;
 
 /** Share of a feed's wait that is random, so that instances do not ask in step. */
 const waitSpread = 0.5;
@@ -24,8 +27,10 @@
 /** Told what is in the table. */
 export interface TableListener {
 	/** All rows, replacing what was known. @param regained - Whether the store had not answered before. */
-	replaced(rows: readonly RowChange[], regained: boolean): void;
-	changed(rows: readonly RowChange[]): void;
+	replaced(rows: readonly RowChange[], regained: boolean, version: number): void;
+	changed(rows: readonly RowChange[], version: number): void;
+	/** Nothing has changed up to a version. */
+	confirm?(version: number): void;
 	/** The store does not answer; what is known may be out of date. */
 	lost(reason: string): void;
 }
@@ -37,6 +42,8 @@
 	listener: TableListener;
 	/** Longest time in milliseconds that one feed call waits, asked at each call. */
 	feedWait: () => number;
+	/** Whether other instances reach the store and tell what changes. */
+	isHelped: () => boolean;
 	/** @default Math.random */
 	random?: () => number;
 };
@@ -50,6 +57,9 @@
 	#version: number | undefined;
 	#failures = 0;
 	#confirmedAt = performance.now();
+	#isActive = true;
+	#isCalling = false;
+	#activated: (() => void) | undefined;
 
 	constructor(options: TableWatchOptions) {
 		this.#options = options;
@@ -66,10 +76,33 @@
 		return performance.now() - this.#confirmedAt;
 	}
 
+	/** Whether the store answered the last call. */
+	get isInTouch(): boolean {
+		return this.#version !== undefined && this.#failures === 0;
+	}
+
+	/** Whether a call is under way. */
+	get isCalling(): boolean {
+		return this.#isCalling;
+	}
+
+	/** Goes on following the store, with a read of all rows, or stops. */
+	setActive(isActive: boolean): void {
+		if (isActive === this.#isActive) {
+			return;
+		}
+
+		this.#isActive = isActive;
+		this.#version = undefined;
+		this.#call.abort();
+		this.#activated?.();
+	}
+
 	/** Follows the table until `close`. */
 	async run(): Promise<void> {
 		while (!this.#closing.signal.aborted) {
-			await this.#step(); // eslint-disable-line no-await-in-loop
+			// eslint-disable-next-line no-await-in-loop
+			await (this.#isActive ? this.#step() : this.#untilActive());
 		}
 	}
 
@@ -77,18 +110,34 @@
 	refresh(): void {
 		this.#version = undefined;
 		this.#call.abort();
+		this.#activated?.();
 	}
 
 	close(): void {
 		this.#closing.abort();
 		this.#call.abort();
+		this.#activated?.();
+	}
+
+	/** Waits until the store is to be followed again; a refresh meanwhile reads the table once. */
+	async #untilActive(): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.#activated = resolve;
+		});
+		this.#activated = undefined;
+		if (!this.#isActive && !this.#closing.signal.aborted) {
+			await this.#step();
+		}
 	}
 
 	async #step(): Promise<void> {
+		this.#isCalling = true;
 		try {
 			await (this.#version === undefined || this.#failures > 0 ? this.#readAll() : this.#followFeed(this.#version));
 		} catch (error) {
 			await this.#recover(error);
+		} finally {
+			this.#isCalling = false;
 		}
 	}
 
@@ -100,7 +149,7 @@
 		this.#version = version;
 		this.#failures = 0;
 		this.#confirmedAt = performance.now();
-		listener.replaced(rows, regained);
+		listener.replaced(rows, regained, version);
 	}
 
 	async #followFeed(from: number): Promise<void> {
@@ -111,8 +160,10 @@
 		this.#version = Math.max(from, version);
 		this.#confirmedAt = performance.now();
 		if (rows.length > 0) {
-			listener.changed(rows);
+			listener.changed(rows, version);
 			await sleep(gatherTime);
+		} else {
+			listener.confirm?.(version);
 		}
 	}
 
@@ -131,7 +182,7 @@
 			this.#options.listener.lost(errorMessage(error));
 		}
 
-		const delay = Math.min(longestRetry, firstRetry * (retryGrowth ** (this.#failures - 1)));
+		const delay = Math.min(this.#options.isHelped() ? patientRetry : longestRetry, firstRetry * (retryGrowth ** (this.#failures - 1)));
 		await sleep(delay * (1 - (waitSpread * this.#random())));
 	}
 }
