feat(peers): begin with the platform's seeds, and keep an own order of engines while alone

Ruled out: a slow start of the process (46 ms). Change: instances ask the seeds of their settings; the store's rows of instances are read only where no seed answers; an instance alone orders engines by itself.

--- a/bench/placement/simulation.ts
+++ b/bench/placement/simulation.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import {engineOrder} from '../../src/placement/engine-order.js';
 import {LoadBook} from '../../src/placement/load-book.js';
 import {patience, placePrompt, type PromptCandidate} from '../../src/placement/prompt-placement.js';
 import type {EngineRecord} from '../../src/serving/model.js';
@@ -103,7 +104,7 @@
 		const {at, kind, tokens, hint} = request;
 		const {now} = queue;
 		const candidates = records.map((record): PromptCandidate => ({
-			record, load: book.view(record.id, now), pace: 1, isAvoided: false, inOwnDomain: true,
+			record, load: book.view(record.id, now), pace: 1, isAvoided: false, order: engineOrder(record.id),
 		}));
 		const decision = placePrompt({
 			promptTokens: tokens, answerTokens: hint, target: kind.target, gapTarget: kind.gapTarget, remaining: at + kind.deadline - now, isReturning: this.#tries > 0,
--- a/src/cli.ts
+++ b/src/cli.ts
@@ -115,6 +115,7 @@
 examples(program.command('front'), 'front', 'front --log-level debug')
 	.description('run an instance on the platform, with the settings that the platform gives it')
 	.option('--log-level <level>', 'least level of log lines: debug, info, warn or error', 'info')
+	.option('--metrics-port <port>', 'port for metrics on the instance\'s address')
 	.action(async (options: FrontOptions) => {
 		const {front} = await import('./commands/front.js');
 		await front(options);
--- a/src/commands/front.ts
+++ b/src/commands/front.ts
@@ -25,13 +25,18 @@
 	 * @default 'info'
 	 */
 	logLevel: LogLevel;
+	/**
+	 * Port for metrics on the instance's address.
+	 * @default no metrics are served
+	 */
+	metricsPort?: string;
 };
 
 /** Time in milliseconds to write the last log lines. */
 const lastLines = 200;
 
 /** Runs the instance; the process ends when it has stopped. */
-export async function front({logLevel}: FrontOptions): Promise<void> {
+export async function front({logLevel, metricsPort}: FrontOptions): Promise<void> {
 	const writer = new LineWriter(descriptorSink(1));
 	const log = new EventLog({
 		level: logLevel,
@@ -43,7 +48,7 @@
 	const settings = await loadPlatformSettings(path);
 	const instance = new ServingInstance({
 		...settings,
-		metrics: undefined,
+		metrics: metricsPort === undefined ? undefined : {host: settings.ip, port: Number(metricsPort)},
 		peerPort: settings.internalPorts.first,
 		store: new StoreClient(settings.store),
 		tables: {
--- a/src/placement/placement-desk.ts
+++ b/src/placement/placement-desk.ts
@@ -5,6 +5,7 @@
  */
 import {performance} from 'node:perf_hooks';
 import type {EngineCost, EngineRecord, Service} from '../serving/model.js';
+import {engineOrder} from './engine-order.js';
 import type {EngineReputation} from './engine-reputation.js';
 import type {LoadBook, Placement} from './load-book.js';
 import {
@@ -35,6 +36,8 @@
 	reputation: EngineReputation;
 	news: PlacementNews;
 	failureDomain: string;
+	/** Whether other instances are known; alone, an instance keeps an order of its own, or all would fill the same engine. */
+	isInTouch: () => boolean;
 	/** Begins the keys of this instance's placements; differs for each start of a process. */
 	origin: string;
 	/** @default Math.random */
@@ -62,13 +65,13 @@
 	/** Decides where a prompt goes, passing over some engines. */
 	decidePrompt(service: Service, cost: EngineCost, terms: PromptTerms, excluded: ReadonlySet<string>): PromptDecision & {candidates: number} {
 		const now = performance.now();
-		const {book, reputation, failureDomain} = this.#options;
+		const {book, reputation, isInTouch, origin} = this.#options;
 		const candidates = this.#candidates(service, excluded).map((record): PromptCandidate => ({
 			record,
 			load: book.view(record.id, now),
 			pace: reputation.pace(record.id, now),
 			isAvoided: reputation.isAvoided(record.id, now),
-			inOwnDomain: record.failureDomain === failureDomain,
+			order: engineOrder(isInTouch() ? record.id : `${origin} ${record.id}`),
 		}));
 		return {...placePrompt(terms, cost, candidates), candidates: candidates.length};
 	}
--- a/src/placement/prompt-placement.ts
+++ b/src/placement/prompt-placement.ts
@@ -8,7 +8,6 @@
  * @module
  */
 import type {EngineCost, EngineRecord} from '../serving/model.js';
-import {engineOrder} from './engine-order.js';
 import type {EngineLoadView, Writer} from './load-book.js';
 import {passTime, readingTime} from './reading-time.js';
 
@@ -84,7 +83,8 @@
 	/** Factor on its published times. */
 	pace: number;
 	isAvoided: boolean;
-	inOwnDomain: boolean;
+	/** Place in the order in which engines are filled, from 0 to 1. */
+	order: number;
 };
 
 /** An engine that reads a part of the prompt. */
@@ -231,7 +231,7 @@
 	};
 }
 
-function weigh({cost, weight, whole, memory}: Prompt, {record, load, pace, isAvoided, inOwnDomain}: PromptCandidate, part: number): Weighed {
+function weigh({cost, weight, whole, memory}: Prompt, {record, load, pace, isAvoided, order}: PromptCandidate, part: number): Weighed {
 	const slots = Math.min(record.slots, cost.slots);
 	const pass = passTime(cost, load.running + 1, load.memory + memory);
 	const placeTime = cost.usual.answer / cost.stride * pass / slots;
@@ -239,10 +239,9 @@
 	const isHeld = whole >= longReading;
 	const before = pass + load.longestPart;
 	const after = isHeld ? pass + Math.max(load.longestPart, part) : before + part;
-	const order = engineOrder(record.id);
 	return {
 		candidate: {
-			record, load, pace, isAvoided, inOwnDomain,
+			record, load, pace, isAvoided, order,
 		},
 		ready,
 		placeWait: load.running >= slots * fullQueue ? Number.POSITIVE_INFINITY : Math.max(0, load.running + 1 - slots) * placeTime * pace,
--- a/src/serving/__tests__/engine-chooser.test.ts
+++ b/src/serving/__tests__/engine-chooser.test.ts
@@ -49,7 +49,7 @@
 
 	const none = () => undefined;
 	const desk = new PlacementDesk({
-		engines: {ready: () => ready}, book, reputation: new EngineReputation(), failureDomain: 'a', origin: 'self',
+		engines: {ready: () => ready}, book, reputation: new EngineReputation(), failureDomain: 'a', origin: 'self', isInTouch: () => true,
 		news: {
 			placed: none, began: none, ended: none, avoids: none, paced: none,
 		},
--- a/src/serving/serving-instance.ts
+++ b/src/serving/serving-instance.ts
@@ -62,6 +62,8 @@
 	readiness: Endpoint;
 	/** Where metrics are served; undefined where they are not. */
 	metrics: Endpoint | undefined;
+	/** IP numbers of instances to begin with; some may be gone. */
+	seeds: readonly string[];
 	/** Port for the news of instances, the same at all of them. */
 	peerPort: number;
 	bounds: ServingBounds;
@@ -89,6 +91,9 @@
 const idleCheck = 50;
 const joinRetry = 1000;
 
+/** Time in milliseconds in which seeds answer; writes of many instances spread over as long. */
+const joinDelay = 500;
+
 /** One running instance. */
 export class ServingInstance {
 	readonly #options: ServingInstanceOptions;
@@ -144,6 +149,7 @@
 		this.#tableServer = new TableServer(table => ({state: this.#tables[table].copy.state, rows: this.#tables[table].copy.rows}));
 		const desk = new PlacementDesk({
 			engines: this.#engines, book: this.#book, reputation: this.#reputation, news: this.#peers, failureDomain, origin,
+			isInTouch: () => this.#peers.size > 0,
 		});
 		const chooser = new EngineChooser({
 			desk, log,
@@ -185,6 +191,7 @@
 			await this.#serveMetrics(metrics);
 		}
 
+		this.#peers.ask(this.#options.seeds);
 		void this.#join();
 		log.info('instance.started', {
 			ip, instance, callers: callers.port, startup_ms: Math.round(performance.now()), version: this.#configuration.version, engines: this.#engines.size,
@@ -226,16 +233,17 @@
 		}
 	}
 
-	/** Writes this instance's address to the store and asks all others that are there. */
+	/** Writes this instance's address to the store, for others that find no seed, and reads theirs if it found none. */
 	async #join(): Promise<void> {
+		await sleep(joinDelay * (1 + Math.random()));
 		const {store, tables: {instances}, instance, ip, log} = this.#options;
 		while (!this.#isJoined && this.#state === 'serving') {
 			try {
 				await store.write(instances.table, instance, ip); // eslint-disable-line no-await-in-loop
-				const {rows} = await store.read(instances.table); // eslint-disable-line no-await-in-loop
 				this.#isJoined = true;
+				const {rows} = this.#peers.size > 0 ? {rows: []} : await store.read(instances.table); // eslint-disable-line no-await-in-loop
 				this.#peers.ask(rows.flatMap(({value}) => value === undefined ? [] : [instances.decode(value)]));
-				log.info('instance.joined', {instances: rows.length});
+				log.info('instance.joined', {peers: this.#peers.size, read: rows.length});
 			} catch (error) {
 				log.warn('instance.join-failed', {reason: errorMessage(error)});
 				await sleep(joinRetry * (0.5 + Math.random())); // eslint-disable-line no-await-in-loop
