--- /dev/null
+++ b/soak/callers.ts
@@ -0,0 +1,95 @@
+/**
+ * Callers that send requests over kept connections and note what comes back.
+ *
+ * @module
+ */
+import http from 'node:http';
+import {callerHeaders, paths, signatureHeader} from '../platform/stand-in/deployment.js';
+import {ports} from './instances.js';
+
+/** Kinds of request. `large` needs the memory of several engines. */
+export type CallKind = 'stream' | 'large' | 'idempotent' | 'nonIdempotent' | 'added';
+
+/** Time in milliseconds that callers wait. */
+export const deadline = 5000;
+
+/** What became of a request. */
+export type Call = {
+	id: string;
+	kind: CallKind;
+	instance: string;
+	startedAt: number;
+	endedAt: number;
+	/** 0 where no answer came. */
+	status: number;
+	signed: boolean;
+	/** Whether the answer's framing says that it is whole. */
+	whole: boolean;
+	body: string;
+	/** Why no answer came. */
+	failure: string | undefined;
+};
+
+/** Tokens of the prompts; an engine's memory holds 100,000. */
+const promptTokens: Readonly<Partial<Record<CallKind, number>>> = {stream: 3000, large: 150_000};
+
+const targets: Readonly<Record<CallKind, {method: string; path: string}>> = {
+	stream: {method: 'POST', path: paths.stream},
+	large: {method: 'POST', path: paths.stream},
+	idempotent: {method: 'GET', path: paths.idempotent},
+	nonIdempotent: {method: 'POST', path: paths.nonIdempotent},
+	added: {method: 'GET', path: paths.added},
+};
+
+/** Connections of all callers. */
+const agent = new http.Agent({keepAlive: true, maxSockets: 200});
+
+/** Sends one request and resolves when it is over. @param id - Unique among all requests of the run. */
+export async function call(kind: CallKind, id: string, {name, ip}: {name: string; ip: string}): Promise<Call> {
+	const outcome: Call = {
+		id, kind, instance: name, startedAt: performance.now(), endedAt: 0, status: 0, signed: false, whole: false, body: '', failure: undefined,
+	};
+	const {method, path} = targets[kind];
+	return new Promise(resolve => {
+		const end = (failure?: string) => {
+			clearTimeout(timer);
+			if (outcome.endedAt === 0) {
+				outcome.endedAt = performance.now();
+				outcome.failure = failure;
+				resolve(outcome);
+			}
+		};
+
+		const request = http.request({
+			host: ip, port: ports.callers, method, path: `${path}x`, agent, headers: callerHeaders(id, deadline, promptTokens[kind]),
+		});
+		const timer = setTimeout(() => {
+			request.destroy();
+			end('deadline');
+		}, deadline + 500);
+		request.on('error', error => {
+			end(error.message);
+		});
+		request.on('response', response => {
+			outcome.status = response.statusCode ?? 0;
+			outcome.signed = response.headers[signatureHeader] !== undefined;
+			response.setEncoding('latin1');
+			response.on('data', (text: string) => {
+				outcome.body += text;
+			});
+			response.on('error', error => {
+				end(error.message);
+			});
+			response.on('end', () => {
+				outcome.whole = response.complete;
+				end();
+			});
+		});
+		request.end(method === 'POST' ? 'body' : undefined);
+	});
+}
+
+/** Closes the callers' connections. */
+export function closeCallers(): void {
+	agent.destroy();
+}
--- /dev/null
+++ b/soak/checks.ts
@@ -0,0 +1,107 @@
+/**
+ * The promises to callers, checked against what callers and engines saw.
+ *
+ * @module
+ */
+import {customerName} from '../platform/stand-in/deployment.js';
+import {eventBytes, plainBody} from '../platform/stand-in/engine.js';
+import {type Call, deadline} from './callers.js';
+
+/** Statuses that promise that a request has not run and never will. */
+const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/** Time in milliseconds beyond the deadline within which every request is over. */
+const overtime = 1000;
+
+/** Time in milliseconds before a request in which no fault may lie for it to count as calm. */
+export const calmMargin = 3500;
+
+/** Share of calm requests that must be served. */
+const calmShare = 0.95;
+
+/** Least number of calm requests by which the share is judged. */
+const calmCount = 20;
+
+/** One run of a request at an engine. */
+export type Run = {engineId: string; requestId: string; customer: string | undefined};
+
+/** A span in which a fault was in force. `planned` ones must cut nothing. */
+export type FaultWindow = {name: string; instance: string | undefined; isPlanned: boolean; from: number; until: number};
+
+/** All that a run has to show. */
+export type Evidence = {
+	calls: readonly Call[];
+	runs: readonly Run[];
+	windows: readonly FaultWindow[];
+	/** Events of a whole stream. */
+	events: number;
+	/** Reservations that were still held after all requests had ended. */
+	heldReservations: number;
+};
+
+/** Promises that were broken, each with the request that shows it. */
+export function brokenPromises(evidence: Evidence): string[] {
+	const runsOf = new Map<string, number>();
+	for (const {requestId} of evidence.runs) {
+		runsOf.set(requestId, (runsOf.get(requestId) ?? 0) + 1);
+	}
+
+	return [
+		...evidence.calls.flatMap(call => callProblems(call, runsOf.get(call.id) ?? 0, evidence.events)),
+		...evidence.runs.filter(run => run.customer !== customerName).map(run => `request ${run.requestId} ran for customer ${String(run.customer)}`),
+		...plannedProblems(evidence),
+		...calmProblems(evidence),
+		...(evidence.heldReservations > 0 ? [`${evidence.heldReservations} reservations were not given back`] : []),
+	];
+}
+
+function callProblems(call: Call, runs: number, events: number): string[] {
+	const problems: string[] = [];
+	const say = (problem: string) => {
+		problems.push(`request ${call.id} (${call.kind} at ${call.instance}): ${problem}`);
+	};
+
+	if (call.kind === 'nonIdempotent' && runs > 1) {
+		say(`ran ${runs} times`);
+	}
+
+	if (call.kind === 'nonIdempotent' && notRunStatuses.has(call.status) && runs > 0) {
+		say(`was answered ${call.status} and ran`);
+	}
+
+	if (call.endedAt - call.startedAt > deadline + overtime) {
+		say(`took ${Math.round(call.endedAt - call.startedAt)} ms`);
+	}
+
+	if (call.status === 200 && call.whole) {
+		if (!call.signed) {
+			say('a success without signature');
+		}
+
+		const expected = call.kind === 'stream' || call.kind === 'large'
+			? Array.from({length: events}, (_, index) => eventBytes(index + 1)).join('')
+			: plainBody(call.id);
+		if (call.body !== expected) {
+			say(`another answer than its own: ${JSON.stringify(call.body.slice(0, 60))}`);
+		}
+	}
+
+	return problems;
+}
+
+/** Planned work alone cuts no request that was sent before it or soon after. */
+function plannedProblems({calls, windows}: Evidence): string[] {
+	return calls.filter(call => {
+		const around = windows.filter(window => window.until >= call.startedAt - calmMargin && window.from <= call.endedAt);
+		const planned = around.filter(({isPlanned, instance}) => isPlanned && instance === call.instance);
+		return planned.length > 0 && around.every(window => window.isPlanned) && call.failure !== undefined
+			// A connection that the process closed before it read the request is no cut.
+			&& call.status !== 0;
+	}).map(call => `request ${call.id} (${call.kind}) was cut by planned work at ${call.instance}: ${String(call.failure)}`);
+}
+
+function calmProblems({calls, windows}: Evidence): string[] {
+	const calm = calls.filter(call => call.kind !== 'added' && windows.every(window => window.until < call.startedAt - calmMargin || window.from > call.endedAt));
+	const served = calm.filter(({status, whole}) => status === 200 && whole).length;
+	return calm.length >= calmCount && served < calm.length * calmShare ? [`${served} of ${calm.length} calm requests were served`] : [];
+}
--- /dev/null
+++ b/soak/faults.ts
@@ -0,0 +1,70 @@
+/**
+ * Faults of a run, drawn from its seed: each begins at a time, lasts a while and may overlap others.
+ *
+ * @module
+ */
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import type {RandomGenerator} from 'pure-rand/types/RandomGenerator';
+import type {EngineFault} from '../platform/stand-in/engine.js';
+import type {StoreFault} from '../platform/stand-in/store.js';
+import type {LinkFault} from './proxy.js';
+
+/** One fault. Numbers name instances, engines and links. */
+export type Fault = {at: number; duration: number} & (
+	| {kind: 'kill' | 'terminate' | 'pause' | 'reload'; instance: number}
+	| {kind: 'store'; fault: StoreFault}
+	| {kind: 'store-delay' | 'forget-history' | 'configure'}
+	| {kind: 'store-link'; instance: number; fault: LinkFault}
+	| {kind: 'engine-link'; engine: number; fault: LinkFault}
+	| {kind: 'engine'; engine: number; fault: EngineFault}
+	| {kind: 'engine-restart' | 'engine-drain'; engine: number}
+);
+
+/** Sizes of a run. */
+export type SoakSize = {instances: number; engines: number};
+
+/** Time in milliseconds at the start and the end of a run without faults. */
+export const quietStart = 2500;
+export const quietEnd = 5000;
+
+const storeFaults: readonly StoreFault[] = ['busy', 'reset', 'silent', 'lost'];
+const linkFaults: readonly LinkFault[] = ['delay', 'reset', 'silent', 'cutForward', 'cutBack', 'dark'];
+const engineFaults: readonly EngineFault[] = ['errors', 'shed', 'lostAnswer', 'mute', 'cutStream', 'unframedReset', 'secondAnswer'];
+
+/** Draws the faults of a run of so many milliseconds. */
+export function drawFaults(generator: RandomGenerator, duration: number, {instances, engines}: SoakSize): Fault[] {
+	const number = (least: number, most: number) => uniformInt(generator, least, most);
+	const pick = <Value>(values: readonly Value[]): Value => values[number(0, values.length - 1)]!;
+	const faults: Fault[] = [];
+	let at = quietStart;
+	while (at < duration - quietEnd) {
+		const span = {at, duration: number(300, 2500)};
+		const instance = number(0, instances - 1);
+		const engine = number(0, engines - 1);
+		const kinds: Fault[] = [
+			{...span, kind: 'kill', instance},
+			{...span, kind: 'terminate', instance},
+			{...span, kind: 'pause', instance},
+			{...span, kind: 'reload', instance},
+			{...span, kind: 'store', fault: pick(storeFaults)},
+			{...span, kind: 'store-delay'},
+			{...span, kind: 'forget-history'},
+			{...span, kind: 'configure'},
+			{
+				...span, kind: 'store-link', instance, fault: pick(linkFaults),
+			},
+			{
+				...span, kind: 'engine-link', engine, fault: pick(linkFaults),
+			},
+			{
+				...span, kind: 'engine', engine, fault: pick(engineFaults),
+			},
+			{...span, kind: 'engine-restart', engine},
+			{...span, kind: 'engine-drain', engine},
+		];
+		faults.push(pick(kinds));
+		at += number(100, 1500);
+	}
+
+	return faults;
+}
--- /dev/null
+++ b/soak/proxy.ts
@@ -0,0 +1,107 @@
+/**
+ * A loopback proxy for connections, which delays, resets, silences or cuts them one way.
+ *
+ * @module
+ */
+import net from 'node:net';
+
+/** What the proxy does to connections. `silent` keeps open ones without passing anything on and serves new ones. */
+export type LinkFault = 'none' | 'delay' | 'reset' | 'silent' | 'cutForward' | 'cutBack' | 'dark';
+
+/** Delay in milliseconds of each piece on a delayed link. */
+const delay = 120;
+
+type Pair = {near: net.Socket; far: net.Socket; isSilenced: boolean};
+
+/** One link. */
+export class Proxy {
+	readonly #pairs = new Set<Pair>();
+	readonly #server: net.Server;
+	#fault: LinkFault = 'none';
+	readonly #target: () => number;
+
+	/** @param target - Port behind the proxy, asked for each connection. */
+	constructor(target: () => number) {
+		this.#target = target;
+		this.#server = net.createServer({allowHalfOpen: true}, near => {
+			this.#connect(near);
+		});
+	}
+
+	async listen(): Promise<number> {
+		await new Promise<void>(resolve => {
+			this.#server.listen(0, '127.0.0.1', resolve);
+		});
+		const address = this.#server.address();
+		return typeof address === 'object' && address !== null ? address.port : 0;
+	}
+
+	/** Puts a fault in force, for open connections as well. */
+	strike(fault: LinkFault): void {
+		this.#fault = fault;
+		for (const pair of this.#pairs) {
+			if (fault === 'reset') {
+				pair.near.resetAndDestroy();
+				pair.far.resetAndDestroy();
+			}
+
+			pair.isSilenced ||= fault === 'silent';
+		}
+	}
+
+	close(): void {
+		this.#server.close();
+		for (const {near, far} of this.#pairs) {
+			near.destroy();
+			far.destroy();
+		}
+	}
+
+	#connect(near: net.Socket): void {
+		if (this.#fault === 'reset') {
+			near.resetAndDestroy();
+			return;
+		}
+
+		const far = net.connect({host: '127.0.0.1', port: this.#target(), allowHalfOpen: true});
+		const pair: Pair = {near, far, isSilenced: false};
+		this.#pairs.add(pair);
+		this.#pipe(pair, near, far, 'cutForward');
+		this.#pipe(pair, far, near, 'cutBack');
+	}
+
+	#pipe(pair: Pair, from: net.Socket, to: net.Socket, cut: LinkFault): void {
+		const pass = (action: () => void) => {
+			if (pair.isSilenced || this.#fault === cut || this.#fault === 'dark') {
+				return;
+			}
+
+			if (this.#fault === 'delay') {
+				setTimeout(action, delay);
+			} else {
+				action();
+			}
+		};
+
+		from.on('data', bytes => {
+			pass(() => {
+				to.write(bytes);
+			});
+		});
+		from.on('end', () => {
+			pass(() => {
+				to.end();
+			});
+		});
+		from.on('error', () => {
+			to.resetAndDestroy();
+		});
+		from.on('close', () => {
+			this.#pairs.delete(pair);
+			// A reset shows as a close without an end.
+			if (!from.readableEnded) {
+				to.resetAndDestroy();
+			}
+		});
+	}
+}
--- /dev/null
+++ b/soak/run.ts
@@ -0,0 +1,273 @@
+/**
+ * One run of the soak: stand-ins, instances, callers and faults, from one seed.
+ *
+ * @module
+ */
+import {mkdtemp, rm} from 'node:fs/promises';
+import os from 'node:os';
+import path from 'node:path';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {match} from 'ts-pattern';
+import {configuration, engineEntry, rows} from '../platform/stand-in/deployment.js';
+import {StandInEngine} from '../platform/stand-in/engine.js';
+import {StandInStore} from '../platform/stand-in/store.js';
+import {
+	call, type Call, type CallKind, closeCallers,
+} from './callers.js';
+import {brokenPromises, type FaultWindow, type Run} from './checks.js';
+import {drawFaults, type Fault, type SoakSize} from './faults.js';
+import {Instance} from './instances.js';
+import {type LinkFault, Proxy} from './proxy.js';
+
+/** What a run is made of. */
+export type SoakOptions = SoakSize & {
+	seed: number;
+	/** In milliseconds. */
+	duration: number;
+	/** Requests a second. */
+	rate: number;
+	/** Whether logs are kept where nothing broke. */
+	keepLogs: boolean;
+};
+
+/** How a run went. */
+export type SoakResult = {problems: string[]; calls: number; served: number; logs: string | undefined; faults: readonly Fault[]};
+
+/** Events of each stream and their distance in milliseconds. */
+const events = 8;
+const pace = 30;
+
+/** Time in milliseconds for all instances to be ready. */
+const startTime = 15_000;
+
+/** Time in milliseconds after the last request in which memory comes back, by the platform's bound. */
+const releaseTime = 4000;
+
+const kinds: readonly CallKind[] = ['stream', 'stream', 'large', 'idempotent', 'idempotent', 'nonIdempotent', 'nonIdempotent', 'added'];
+
+type Engine = {id: string; service: string; model: StandInEngine; port: number; proxy: Proxy; entryPort: number; born: number};
+
+/** Runs one seed. */
+export class SoakRun {
+	readonly #options: SoakOptions;
+	readonly #store = new StandInStore();
+	readonly #engines: Engine[] = [];
+	readonly #storeLinks: Proxy[] = [];
+	readonly #runs: Run[] = [];
+	readonly #windows: FaultWindow[] = [];
+	readonly #calls: Array<Promise<Call>> = [];
+	#instances: Instance[] = [];
+	#version = 1;
+	#isAdded = false;
+
+	constructor(options: SoakOptions) {
+		this.#options = options;
+	}
+
+	async run(): Promise<SoakResult> {
+		const {seed, duration, keepLogs} = this.#options;
+		const folder = await mkdtemp(path.join(os.tmpdir(), `carobquay-soak-${seed}-`));
+		const generator = xoroshiro128plus(seed);
+		const faults = drawFaults(generator, duration, this.#options);
+		let problems = ['the run did not end'];
+		try {
+			await this.#start(folder);
+			const begunAt = performance.now();
+			const playing = Promise.all(faults.map(async fault => this.#play(fault)));
+			await this.#callFor(duration, number => uniformInt(generator, 0, number - 1), begunAt);
+			await playing;
+			const calls = await Promise.all(this.#calls);
+			await sleep(releaseTime);
+			problems = brokenPromises({
+				calls, runs: this.#runs, windows: this.#windows, events, heldReservations: this.#heldReservations(),
+			});
+			return {
+				problems, calls: calls.length, served: calls.filter(({status, whole}) => status === 200 && whole).length,
+				logs: problems.length > 0 || keepLogs ? folder : undefined, faults,
+			};
+		} finally {
+			await this.#stop();
+			if (problems.length === 0 && !keepLogs) {
+				await rm(folder, {recursive: true, force: true});
+			}
+		}
+	}
+
+	async #start(folder: string): Promise<void> {
+		const {instances, engines} = this.#options;
+		const storePort = await this.#store.listen();
+		for (let number = 0; number < engines; number++) {
+			await this.#startEngine(`engine-${number}`, number % 3 === 2 ? 'plain' : 'model'); // eslint-disable-line no-await-in-loop
+		}
+
+		this.#store.put(rows.configuration.table, rows.configuration.key, configuration(this.#version, false));
+		this.#store.put(rows.engines, 'foreign', 'no entry of an engine');
+		this.#instances = Array.from({length: instances}, (_, number) => new Instance(number + 1, folder));
+		const seeds = this.#instances.slice(0, 2).map(({ip}) => ip);
+		for (const instance of this.#instances) {
+			const link = new Proxy(() => storePort);
+			this.#storeLinks.push(link);
+			await instance.start(await link.listen(), seeds); // eslint-disable-line no-await-in-loop
+		}
+
+		await Promise.all(this.#instances.map(async instance => this.#untilServing(instance)));
+	}
+
+	async #startEngine(id: string, service: string): Promise<void> {
+		const model = this.#model(id);
+		const engine: Engine = {
+			id, service, model, port: await model.listen(), proxy: new Proxy(() => engine.port), entryPort: 0, born: Date.now(),
+		};
+		engine.entryPort = await engine.proxy.listen();
+		this.#engines.push(engine);
+		this.#enter(engine, 'ready');
+	}
+
+	#model(id: string): StandInEngine {
+		return new StandInEngine({
+			id, events, pace,
+			recorder: {
+				ran: run => {
+					this.#runs.push(run);
+				},
+			},
+		});
+	}
+
+	#enter({id, service, entryPort, born}: Engine, state: 'ready' | 'draining'): void {
+		this.#store.put(rows.engines, id, engineEntry({
+			service, port: entryPort, state, born,
+		}));
+	}
+
+	async #untilServing(instance: Instance): Promise<void> {
+		const until = performance.now() + startTime;
+		for (let tries = 0; performance.now() < until; tries++) {
+			const {status} = await call('idempotent', `start-${instance.name}-${tries}`, instance); // eslint-disable-line no-await-in-loop
+			if (status === 200) {
+				return;
+			}
+
+			await sleep(100); // eslint-disable-line no-await-in-loop
+		}
+
+		throw new Error(`instance ${instance.name} did not serve within ${startTime} ms`);
+	}
+
+	async #callFor(duration: number, number: (below: number) => number, begunAt: number): Promise<void> {
+		const {rate, seed} = this.#options;
+		for (let count = 0; performance.now() - begunAt < duration; count++) {
+			const kind = kinds[number(kinds.length)]!;
+			if (kind !== 'added' || this.#isAdded) {
+				this.#calls.push(call(kind, `${seed}-${count}`, this.#instances[number(this.#instances.length)]!));
+			}
+
+			await sleep(1000 / rate); // eslint-disable-line no-await-in-loop
+		}
+	}
+
+	async #play(fault: Fault): Promise<void> {
+		await sleep(fault.at);
+		const window: FaultWindow = {
+			name: fault.kind, instance: 'instance' in fault ? this.#instances[fault.instance]!.name : undefined,
+			isPlanned: ['terminate', 'reload', 'configure', 'engine-drain'].includes(fault.kind), from: performance.now(), until: Number.POSITIVE_INFINITY,
+		};
+		this.#windows.push(window);
+		await this.#strike(fault);
+		window.until = performance.now();
+	}
+
+	async #strike(fault: Fault): Promise<void> {
+		await match(fault)
+			.with({kind: 'kill'}, async ({instance, duration}) => this.#signal(instance, 'SIGKILL', duration))
+			.with({kind: 'terminate'}, async ({instance, duration}) => this.#signal(instance, 'SIGTERM', duration))
+			.with({kind: 'reload'}, async ({instance, duration}) => this.#signal(instance, 'SIGHUP', duration))
+			.with({kind: 'pause'}, async ({instance, duration}) => {
+				await this.#signal(instance, 'SIGSTOP', duration);
+				this.#instances[instance]!.signal('SIGCONT');
+			})
+			.with({kind: 'store'}, async ({fault: kind, duration}) => {
+				this.#store.fault = kind;
+				await sleep(duration);
+				this.#store.fault = 'none';
+			})
+			.with({kind: 'store-delay'}, async ({duration}) => {
+				this.#store.delay = 250;
+				await sleep(duration);
+				this.#store.delay = 0;
+			})
+			.with({kind: 'forget-history'}, async () => {
+				this.#store.forgetHistory();
+			})
+			.with({kind: 'configure'}, async ({duration}) => {
+				this.#version += 3;
+				this.#store.put(rows.configuration.table, rows.configuration.key, configuration(this.#version, true));
+				await sleep(duration);
+				this.#isAdded = true;
+			})
+			.with({kind: 'store-link'}, async ({instance, fault: kind, duration}) => this.#strikeLink(this.#storeLinks[instance]!, kind, duration))
+			.with({kind: 'engine-link'}, async ({engine, fault: kind, duration}) => this.#strikeLink(this.#engines[engine]!.proxy, kind, duration))
+			.with({kind: 'engine'}, async ({engine, fault: kind, duration}) => {
+				const {model} = this.#engines[engine]!;
+				model.fault = kind;
+				await sleep(duration);
+				model.fault = 'none';
+			})
+			.with({kind: 'engine-restart'}, async ({engine, duration}) => this.#restart(this.#engines[engine]!, duration))
+			.with({kind: 'engine-drain'}, async ({engine, duration}) => {
+				const drained = this.#engines[engine]!;
+				this.#enter(drained, 'draining');
+				await sleep(duration + 500);
+				drained.born = Date.now();
+				this.#enter(drained, 'ready');
+			})
+			.exhaustive();
+	}
+
+	async #signal(instance: number, signal: NodeJS.Signals, duration: number): Promise<void> {
+		this.#instances[instance]!.signal(signal);
+		await sleep(duration);
+		// The span lasts until a process that was told to end runs again.
+		while (!this.#instances[instance]!.isRunning) {
+			await sleep(50); // eslint-disable-line no-await-in-loop
+		}
+
+		await sleep(signal === 'SIGTERM' ? 4000 : 500);
+	}
+
+	async #strikeLink(link: Proxy, fault: LinkFault, duration: number): Promise<void> {
+		link.strike(fault);
+		await sleep(duration);
+		link.strike('none');
+	}
+
+	async #restart(engine: Engine, duration: number): Promise<void> {
+		engine.model.crash();
+		await sleep(duration);
+		engine.model = this.#model(engine.id);
+		engine.port = await engine.model.listen();
+		engine.born = Date.now();
+		this.#enter(engine, 'ready');
+	}
+
+	#heldReservations(): number {
+		const now = performance.now();
+		return this.#engines.flatMap(({model}) => [...model.reservations.values()]).filter(ends => ends > now).length;
+	}
+
+	async #stop(): Promise<void> {
+		await Promise.all(this.#instances.map(async instance => instance.stop()));
+		closeCallers();
+		this.#store.close();
+		for (const {model, proxy} of this.#engines) {
+			model.crash();
+			proxy.close();
+		}
+
+		for (const link of this.#storeLinks) {
+			link.close();
+		}
+	}
+}
--- a/src/placement/placement-desk.ts
+++ b/src/placement/placement-desk.ts
@@ -47,6 +47,9 @@
 /** Time in milliseconds after a request's deadline until which its placement may still be ended. */
 const expiryMargin = 1000;
 
+/** Time in milliseconds for which an engine that turned a request away is avoided; a few passes, in which places become free. */
+const fullTime = 300;
+
 /** Least change of an engine's pace that the others are told of. */
 const paceStep = 0.3;
 
@@ -133,6 +136,20 @@
 		this.#options.news.avoids(engineId, duration);
 	}
 
+	/** An engine turned a request away; its queue is full for a moment, which is no failure. */
+	full(engineId: string): void {
+		this.#options.reputation.avoid(engineId, fullTime, performance.now());
+		this.#options.news.avoids(engineId, fullTime);
+	}
+
+	/** The engine at an address failed a request that another one had asked it to read for. */
+	failedAt(service: Service, address: string): void {
+		const engine = this.#options.engines.ready(service.name).find(record => record.address === address || record.id === address);
+		if (engine) {
+			this.failed(engine.id);
+		}
+	}
+
 	/** An engine took some factor of the expected time between two events. */
 	observePace(engineId: string, factor: number): void {
 		const now = performance.now();
--- a/src/serving/engine-chooser.ts
+++ b/src/serving/engine-chooser.ts
@@ -139,7 +139,7 @@
 		return {
 			kind: 'chosen',
 			engine: {
-				...this.#reports(key, record, 0),
+				...this.#reports(key, record, 0, service),
 				record,
 				rank: undefined,
 				readers: [],
@@ -212,7 +212,7 @@
 		};
 	}
 
-	#chosenPrompt({terms: {route}, cost, promptTokens, decision, key, reservations, ids}: {
+	#chosenPrompt({terms: {route, service}, cost, promptTokens, decision, key, reservations, ids}: {
 		terms: ChoiceTerms;
 		cost: EngineCost;
 		promptTokens: number;
@@ -225,7 +225,7 @@
 		const gapTarget = route.gapTarget ?? Number.POSITIVE_INFINITY;
 		const longestWait = patience({target: route.target, gapTarget}) / 2;
 		return {
-			...this.#reports(key, decision.first, passTime(cost, 1, promptTokens)),
+			...this.#reports(key, decision.first, passTime(cost, 1, promptTokens), service),
 			record: decision.first,
 			rank: promptTokens <= shortPrompt ? shortRank : longRank,
 			readers: decision.readers.map(({record}) => {
@@ -242,7 +242,7 @@
 	}
 
 	/** What a request tells of its engine. @param pass - Expected time between two events; 0 where there are none. */
-	#reports(key: string, record: EngineRecord, pass: number) {
+	#reports(key: string, record: EngineRecord, pass: number, service: Service) {
 		const {desk, onMisdirected, log} = this.#options;
 		let events = 0;
 		return {
@@ -261,9 +261,13 @@
 				desk.failed(record.id);
 			},
 			rejected(faultyEngine: string | undefined) {
-				if (faultyEngine !== undefined) {
-					log.warn('engine.faulty', {engine: record.id, faulty: faultyEngine});
+				if (faultyEngine === undefined) {
+					desk.full(record.id);
+					return;
 				}
+
+				log.warn('engine.faulty', {engine: record.id, faulty: faultyEngine});
+				desk.failedAt(service, faultyEngine);
 			},
 			misdirected() {
 				onMisdirected(record.id);
