feat(placement): choose the engine of a short prompt by what it makes late, not by the time itself

Cause: a test of the common order failed: an empty engine was preferred to the first of the order for 6 ms that made nothing late, so that short prompts spread again and met the parts of long ones. Ruled out: the order's cost being too small (raising it pushes prompts onto engines that are late). Change: for one engine alone the key is lateness and harm. Tests of placements, refusals, log lines, events, news between instances, the exchange of tables, and of the boundary: nothing outside platform/ spells its names.

--- a/soak/instances.ts
+++ b/soak/instances.ts
@@ -7,6 +7,7 @@
 import {createWriteStream} from 'node:fs';
 import {writeFile} from 'node:fs/promises';
 import path from 'node:path';
+import {settingsVariable} from '../platform/settings.js';
 import {instanceSettings} from '../platform/stand-in/deployment.js';
 
 /** Ports of all instances; each has an address of its own. */
@@ -61,7 +62,7 @@
 
 	#spawn(settings: string): void {
 		const child = spawn(process.execPath, ['--max-old-space-size=160', 'dist/carobquay.cjs', 'front'], {
-			env: {PATH: process.env.PATH, CAROBQUAY_BOOT: settings}, stdio: ['ignore', 'pipe', 'pipe'],
+			env: {PATH: process.env.PATH, [settingsVariable]: settings}, stdio: ['ignore', 'pipe', 'pipe'],
 		});
 		const log = createWriteStream(path.join(this.#folder, `${this.name}.log`), {flags: 'a'});
 		child.stdout.pipe(log);
--- a/src/placement/prompt-placement.ts
+++ b/src/placement/prompt-placement.ts
@@ -290,7 +290,10 @@
  */
 function shareMemory(prompt: Prompt, weighed: readonly Weighed[], count: number, keyOf: (one: Weighed) => number): SharedMemory | undefined {
 	const roomy = weighed.filter(({free, placeWait}) => free >= prompt.memory && Number.isFinite(placeWait));
-	const cost = (one: Weighed) => keyOf(one) + one.placeWait;
+	// One engine alone is chosen by what it makes late, so that engines fill up in their order while nothing is late.
+	const cost = (one: Weighed) => count === 1
+		? (prompt.weight * lateness(one.ready + one.placeWait, prompt)) + one.harm
+		: keyOf(one) + one.placeWait;
 	const [first] = roomy.toSorted((one, other) => cost(one) - cost(other));
 	if (!first) {
 		return reserveMemory(prompt, weighed, count);
