--- a/soak/instances.ts
+++ b/soak/instances.ts
@@ -24,9 +24,10 @@
 	#process: ChildProcess | undefined;
 	#isStopped = false;
 
-	constructor(number: number, folder: string) {
+	/** @param lane - Third number of the loopback addresses, so that runs beside each other do not meet. */
+	constructor(number: number, lane: number, folder: string) {
 		this.name = `instance-${number}`;
-		this.ip = `127.0.7.${number}`;
+		this.ip = `127.0.${lane}.${number}`;
 		this.#folder = folder;
 	}
 
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -39,6 +39,10 @@
 const events = 8;
 const pace = 30;
 
+/** Loopback networks of runs, by their seeds. */
+const firstLane = 10;
+const lanes = 200;
+
 /** Time in milliseconds for all instances to be ready. */
 const startTime = 15_000;
 
@@ -104,7 +108,7 @@
 
 		this.#store.put(rows.configuration.table, rows.configuration.key, configuration(this.#version, false));
 		this.#store.put(rows.engines, 'foreign', 'no entry of an engine');
-		this.#instances = Array.from({length: instances}, (_, number) => new Instance(number + 1, folder));
+		this.#instances = Array.from({length: instances}, (_, number) => new Instance(number + 1, firstLane + (this.#options.seed % lanes), folder));
 		const seeds = this.#instances.slice(0, 2).map(({ip}) => ip);
 		for (const instance of this.#instances) {
 			const link = new Proxy(() => storePort);
--- a/src/cli.ts
+++ b/src/cli.ts
@@ -121,6 +121,13 @@
 		await front(options);
 	});
 
+examples(program.command('trace <request>'), 'trace 9c41d07be2a35f68 < instances.log')
+	.description('print the lines of one request from logs on standard input, and how it ended')
+	.action(async (request: string) => {
+		const {trace} = await import('./commands/trace.js');
+		await trace(request);
+	});
+
 examples(program.command('stand-in <kind>'), 'stand-in engine --port 7101', 'stand-in table --port 7001')
 	.description('run a small stand-in of an outside system: engine, service, table, objects, instances, weights')
 	.option('--host <ip>', 'IP number to listen on', '127.0.0.1')
--- a/src/telemetry/log.ts
+++ b/src/telemetry/log.ts
@@ -99,3 +99,15 @@
 function formatValue(text: string): string {
 	return plainValue.test(text) ? text : JSON.stringify(text);
 }
+
+const writtenField = /([\w.\-]+)=("(?:[^"\\]|\\.)*"|\S+)/gv;
+
+/** Fields of a line that `formatFields` wrote. */
+export function parseFields(line: string): Record<string, string> {
+	return Object.fromEntries([...line.matchAll(writtenField)].map(([, key, value]) => [key!, parseValue(value!)]));
+}
+
+function parseValue(text: string): string {
+	const value: unknown = text.startsWith('"') ? JSON.parse(text) : text;
+	return typeof value === 'string' ? value : text;
+}
