fix(peers): name all peers to an instance that begins, so that none stays unknown

Cause: an answer named 24 peers at most and every greeting was answered so; of 71 instances that begin with three seeds many never heard of each other. Ruled out: the order of an instance alone (peers were known); load of the machine (the small sites did not change). Change: greetings ask for names only at seeds and, every ten seconds, at one peer; answers name up to 400. The test with forty instances fails with the old limit.

--- a/src/peers/__tests__/news.test.ts
+++ b/src/peers/__tests__/news.test.ts
@@ -11,7 +11,7 @@
 			table: 1, before: 5, after: {asOf: 9, sum: 4_000_000_000}, rows: [{key: 'i-1', value: 'abc', removed: false}, {key: 'i-2', value: undefined, removed: true}],
 		}],
 	},
-	asks: true,
+	asks: 'names',
 	placed: [{
 		key: 'front-1~k3/12', gapTarget: Number.POSITIVE_INFINITY, weight: 1.5, startsAt: 1200, expiresAt: 9000,
 		parts: [{
@@ -38,8 +38,8 @@
 	{name: 'no bytes', bytes: new Uint8Array(0)},
 	{name: 'other bytes', bytes: new TextEncoder().encode('hello there')},
 	{name: 'another version', bytes: new Encoder().encode([99, 'front-1'])},
-	{name: 'a missing list', bytes: new Encoder().encode([1, 'front-1', [true, true, true, [[1, 1], [1, 1]], []], false, 5])},
-	{name: 'the states of one table only', bytes: new Encoder().encode([1, 'front-1', [true, true, true, [[1, 1]], []], false, [], [], [], [], [], []])},
+	{name: 'a missing list', bytes: new Encoder().encode([1, 'front-1', [true, true, true, [[1, 1], [1, 1]], []], 0, 5])},
+	{name: 'the states of one table only', bytes: new Encoder().encode([1, 'front-1', [true, true, true, [[1, 1]], []], 0, [], [], [], [], [], []])},
 ];
 
 for (const {name, bytes} of bad) {
--- /dev/null
+++ b/src/peers/__tests__/peer-news.test.ts
@@ -0,0 +1,74 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import test from 'ava';
+import {EngineReputation} from '../../placement/engine-reputation.js';
+import {LoadBook} from '../../placement/load-book.js';
+import {EventLog} from '../../telemetry/log.js';
+import {PeerNews} from '../peer-news.js';
+
+/** Port of these instances; each has a loopback address of its own. */
+const port = 18_900;
+
+function instance(lane: number, number: number) {
+	const book = new LoadBook();
+	const ip = `127.${lane}.0.${number}`;
+	const news = new PeerNews({
+		ip, port, origin: `instance-${number}~1`, book, reputation: new EngineReputation(), log: new EventLog({write: () => undefined}),
+		spread: () => ({
+			follows: true, reachesStore: true, afterOutage: false, tables: [{asOf: 0, sum: 0}, {asOf: 0, sum: 0}],
+		}),
+		onSpread: () => undefined,
+	});
+	return {ip, news, book};
+}
+
+test('forty instances that begin with three seeds all know each other', async t => {
+	const all = Array.from({length: 40}, (_, index) => instance(20, index + 1));
+	t.teardown(() => {
+		for (const {news} of all) {
+			news.close();
+		}
+	});
+	const seeds = all.slice(0, 3).map(({ip}) => ip);
+	for (const {news} of all) {
+		await news.start(); // eslint-disable-line no-await-in-loop
+		news.ask(seeds);
+		await sleep(5); // eslint-disable-line no-await-in-loop
+	}
+
+	for (let tries = 0; tries < 100 && all.some(({news}) => news.size < all.length - 1); tries++) {
+		await sleep(50); // eslint-disable-line no-await-in-loop
+	}
+
+	t.deepEqual(all.map(({news}) => news.size), all.map(() => all.length - 1));
+});
+
+test('a placement of one instance is known to the others, and its end as well', async t => {
+	const [one, other] = [instance(21, 1), instance(21, 2)];
+	t.teardown(() => {
+		one.news.close();
+		other.news.close();
+	});
+	await one.news.start();
+	await other.news.start();
+	other.news.ask([one.ip]);
+	await until(() => one.news.size === 1 && other.news.size === 1);
+
+	one.news.placed({
+		key: 'instance-1~1/1', gapTarget: 250, weight: 1, startsAt: performance.now(), expiresAt: performance.now() + 10_000,
+		parts: [{
+			engineId: 'e', reading: 500, memory: 100, writes: true,
+		}],
+	});
+	await until(() => other.book.size === 1);
+	t.is(other.book.view('e', performance.now()).running, 1);
+
+	one.news.ended('instance-1~1/1');
+	await until(() => other.book.size === 0);
+	t.is(other.book.size, 0);
+});
+
+async function until(holds: () => boolean): Promise<void> {
+	for (let tries = 0; tries < 100 && !holds(); tries++) {
+		await sleep(20); // eslint-disable-line no-await-in-loop
+	}
+}
--- a/src/peers/news.ts
+++ b/src/peers/news.ts
@@ -17,14 +17,20 @@
 
 const codec = new Encoder({useRecords: false, tagUint8Array: false, mapsAsObjects: true});
 
+/** What an instance may ask another one for. */
+export type Question = 'nothing' | 'answer' | 'names';
+
+/** Questions in the order of their numbers in messages. */
+const questions: readonly Question[] = ['nothing', 'answer', 'names'];
+
 /** News of one instance. Everything in it may be lost or come twice. */
 export type News = {
 	/** Name and start of the sender; begins the keys of its placements. */
 	origin: string;
 	/** What it knows of the store's tables. */
 	spread: SpreadNews;
-	/** Whether the sender asks for an answer, because it has just begun or lost touch. */
-	asks: boolean;
+	/** What the sender asks for: an answer, so that both know each other, or one that names all other instances. */
+	asks: Question;
 	placed: readonly Placement[];
 	began: readonly string[];
 	ended: readonly string[];
@@ -44,7 +50,7 @@
 		version,
 		news.origin,
 		encodeSpread(news.spread),
-		news.asks,
+		questions.indexOf(news.asks),
 		news.placed.map(({key, parts, gapTarget, weight, startsAt, expiresAt}) => [
 			Number(key.slice(prefix)),
 			Number.isFinite(gapTarget) ? gapTarget : noGap,
@@ -81,7 +87,7 @@
 		return {
 			origin: sender,
 			spread: decodeSpread(list(spread)),
-			asks: asks === true,
+			asks: questions[number(asks)] ?? 'nothing',
 			placed: list(placed).map(entry => decodePlacement(sender, list(entry), now)),
 			began: list(began).map(sequence => `${sender}/${number(sequence)}`),
 			ended: list(ended).map(sequence => `${sender}/${number(sequence)}`),
--- a/src/peers/peer-news.ts
+++ b/src/peers/peer-news.ts
@@ -33,8 +33,11 @@
 const silentHeartbeats = 4;
 const goneHeartbeats = 15;
 
-/** Peers named in an answer to one that asks. */
-const namedPeers = 24;
+/** Most peers named in an answer; 350 instances are named within one datagram of 6 KB. */
+const namedPeers = 400;
+
+/** Heartbeats between two questions to some peer for the names of all others, which heal a fleet that began in parts. */
+const namesInterval = 20;
 
 /** Greatest size in bytes of rows in one message; larger changes are fetched. */
 const maximumDelta = 8192;
@@ -76,6 +79,7 @@
 	#isUrgent = false;
 	#heartbeat: NodeJS.Timeout | undefined;
 	#next = 0;
+	#beats = 0;
 
 	constructor(options: PeerNewsOptions) {
 		this.#options = options;
@@ -114,11 +118,11 @@
 	}
 
 	/** Asks other instances for an answer, so that both know each other. */
-	ask(addresses: readonly string[]): void {
+	ask(addresses: readonly string[], question: 'answer' | 'names' = 'names'): void {
 		for (const address of addresses) {
 			if (address !== this.#options.ip && !this.#peers.has(address) && !this.#asked.has(address)) {
 				this.#asked.set(address, 1);
-				this.#sendTo([address], {asks: true});
+				this.#sendTo([address], {asks: question});
 			}
 		}
 	}
@@ -186,7 +190,7 @@
 
 		const {origin, spread, port, log} = this.#options;
 		const bytes = encodeNews({
-			origin, spread: {...spread(), deltas}, asks: false, placed: [], began: [], ended: [], avoided: [], paced: [], peers: [], ...parts,
+			origin, spread: {...spread(), deltas}, asks: 'nothing', placed: [], began: [], ended: [], avoided: [], paced: [], peers: [], ...parts,
 		}, performance.now());
 		for (const address of addresses) {
 			this.#socket.send(bytes, port, address, error => {
@@ -206,12 +210,17 @@
 		const turn = this.#options.spread().follows ? all.length : Math.min(heartbeatPeers, all.length);
 		this.#sendTo(Array.from({length: turn}, (_, index) => all[(this.#next + index) % all.length]!), {});
 		this.#next = all.length === 0 ? 0 : (this.#next + turn) % all.length;
+		this.#beats += 1;
+		if (all.length > 0 && this.#beats % namesInterval === 0) {
+			this.#sendTo([all[this.#next]!], {asks: 'names'});
+		}
+
 		for (const [address, times] of this.#asked) {
 			if (times >= goneHeartbeats) {
 				this.#asked.delete(address);
 			} else {
 				this.#asked.set(address, times + 1);
-				this.#sendTo([address], {asks: true});
+				this.#sendTo([address], {asks: 'answer'});
 			}
 		}
 	}
@@ -241,11 +250,11 @@
 			this.#heard(ip, news, now);
 			this.#take(news, now);
 			this.#options.onSpread(ip, news.spread);
-			if (news.asks) {
-				this.#sendTo([ip], {peers: [...this.#peers.keys()].slice(0, namedPeers)});
+			if (news.asks !== 'nothing') {
+				this.#sendTo([ip], {peers: news.asks === 'names' ? [...this.#peers.keys()].slice(0, namedPeers) : []});
 			}
 
-			this.ask(news.peers);
+			this.ask(news.peers, 'answer');
 		} catch (error) {
 			this.#options.log.warn('peers.unreadable', {peer: ip, bytes: bytes.length, reason: errorMessage(error)});
 		}
