perf(peers): tell the first event of long readings only, and gather other news for longer

Ruled out: heartbeats (five followers, 500 ms, about 70 bytes). Change: the first event is told where an engine read for 150 ms or longer; ends and paces are gathered for 60 ms.

--- a/src/peers/peer-news.ts
+++ b/src/peers/peer-news.ts
@@ -21,7 +21,7 @@
 
 /** Times in milliseconds for which placements and all other news are gathered. */
 const placementGather = 1;
-const otherGather = 25;
+const otherGather = 60;
 
 /** Time in milliseconds between two heartbeats. */
 const heartbeatInterval = 500;
--- a/src/placement/placement-desk.ts
+++ b/src/placement/placement-desk.ts
@@ -9,7 +9,7 @@
 import type {EngineReputation} from './engine-reputation.js';
 import type {LoadBook, Placement} from './load-book.js';
 import {
-	placePrompt, type PromptCandidate, type PromptDecision, type PromptTerms,
+	longReading, placePrompt, type PromptCandidate, type PromptDecision, type PromptTerms,
 } from './prompt-placement.js';
 import {placeServiceRequest} from './service-placement.js';
 
@@ -58,6 +58,7 @@
 	readonly #options: PlacementDeskOptions;
 	readonly #random: () => number;
 	readonly #toldPace = new Map<string, number>();
+	readonly #longReadings = new Set<string>();
 	#sequence = 0;
 
 	constructor(options: PlacementDeskOptions) {
@@ -105,6 +106,10 @@
 			key: `${this.#options.origin}/${this.#sequence}`, parts, gapTarget, weight, startsAt: now + startIn, expiresAt: now + remaining + expiryMargin,
 		};
 		this.#options.book.place(placement, now);
+		if (parts.some(({reading}) => reading >= longReading)) {
+			this.#longReadings.add(placement.key);
+		}
+
 		this.#options.news.placed(placement);
 		return placement.key;
 	}
@@ -119,13 +124,16 @@
 		return this.#options.book.view(engineId, performance.now()).backlog;
 	}
 
-	/** The first event has come. */
+	/** The first event has come. The others are told where the reading was long enough to matter to them. */
 	begin(key: string): void {
 		this.#options.book.begin(key, performance.now());
-		this.#options.news.began(key);
+		if (this.#longReadings.delete(key)) {
+			this.#options.news.began(key);
+		}
 	}
 
 	end(key: string): void {
+		this.#longReadings.delete(key);
 		this.#options.book.end(key, performance.now());
 		this.#options.news.ended(key);
 	}
