refactor(serving): remove what nothing reads, and wait on the clock that tests pause

Cause: loads and connection limits were decoded and used nowhere; the watch of tables and the end of an instance waited on timers that tests cannot pause, so that outages could not be tested. Ruled out: nothing. Change: both fields are gone; one delay() for the chooser, the watch and the instance.

--- a/src/request/time-limit.ts
+++ b/src/request/time-limit.ts
@@ -30,6 +30,24 @@
 	}
 }
 
+/** Resolves after a time, or at once where the signal aborts. */
+export async function delay(milliseconds: number, signal?: AbortSignal): Promise<void> {
+	if (milliseconds <= 0 || signal?.aborted) {
+		return;
+	}
+
+	await new Promise<void>(resolve => {
+		const end = () => {
+			clearTimeout(timer);
+			signal?.removeEventListener('abort', end);
+			resolve();
+		};
+
+		const timer = setTimeout(end, milliseconds);
+		signal?.addEventListener('abort', end, {once: true});
+	});
+}
+
 /** Resolves after a time or rejects with the signal's reason. */
 export async function pause(milliseconds: number, signal: AbortSignal): Promise<void> {
 	return new Promise((resolve, reject) => {
--- a/src/serving/__tests__/engine-chooser.test.ts
+++ b/src/serving/__tests__/engine-chooser.test.ts
@@ -9,7 +9,7 @@
 import type {EngineRecord, Route, Service} from '../model.js';
 
 const service: Service = {
-	name: 'model', connectionLimit: 100,
+	name: 'model',
 	engineCost: {
 		slots: 11, memoryTokens: 315_000, step: 0.85, stepPerRequest: 0.006, stepPerThousandTokens: 0.003, readRate: 177, pairCost: 0.184,
 		stride: 51, usual: {prompt: 11_000, answer: 1600},
--- a/src/serving/engine-answer.ts
+++ b/src/serving/engine-answer.ts
@@ -53,7 +53,6 @@
 	gapLimit: () => number;
 	/** Told of each event passed on and the time since the one before. */
 	onEvent: (id: number | undefined, gap: number) => void;
-	onLoad: (load: NonNullable<AnswerFacts['load']>) => void;
 	onOutcome: (outcome: AnswerOutcome) => void;
 };
 
@@ -128,10 +127,6 @@
 			return;
 		}
 
-		if (facts.load) {
-			this.#options.onLoad(facts.load);
-		}
-
 		const isSuccess = head.status >= 200 && head.status < 300;
 		if (facts.encoded || (isSuccess && !facts.signed)) {
 			this.#end({kind: 'broken', reason: facts.encoded ? 'answer in an encoding that nobody asked for' : 'success without the engine\'s signature'});
--- a/src/serving/engine-chooser.ts
+++ b/src/serving/engine-chooser.ts
@@ -9,6 +9,7 @@
 import {patience, type PromptDecision} from '../placement/prompt-placement.js';
 import {passTime} from '../placement/reading-time.js';
 import {Reservations, type ReservationsOptions} from '../placement/reservations.js';
+import {delay} from '../request/time-limit.js';
 import type {EventLog} from '../telemetry/log.js';
 import type {
 	EngineCost, EngineRecord, RequestFacts, Route, Service,
@@ -41,7 +42,6 @@
 	/** The same between two events; what the engine is known to read meanwhile counts. */
 	gapLimit: () => number;
 	observeEvent(gap: number): void;
-	observeLoad(load: {running: number; waiting: number; slots: number}): void;
 	/** The engine failed by its own fault. */
 	failed(): void;
 	/** The engine, or one that it asked, did not take the request. */
@@ -188,7 +188,7 @@
 				continue;
 			}
 
-			await hold(decision.startIn, terms.signal); // eslint-disable-line no-await-in-loop
+			await delay(decision.startIn, terms.signal); // eslint-disable-line no-await-in-loop
 			const left = [decision.first, ...decision.readers.map(({record}) => record)].find(({id}) => !desk.isReady(service, id));
 			if (left) {
 				log.info('placement.withdrawn', {
@@ -254,9 +254,6 @@
 					desk.observePace(record.id, gap / pass);
 				}
 			},
-			observeLoad() {
-				// Placements are known from the instances themselves, and sooner.
-			},
 			failed() {
 				desk.failed(record.id);
 			},
@@ -293,24 +290,6 @@
 	}
 }
 
-/** Resolves after a time, or at once when the signal aborts. */
-async function hold(time: number, signal: AbortSignal): Promise<void> {
-	if (time <= 0 || signal.aborted) {
-		return;
-	}
-
-	await new Promise<void>(resolve => {
-		const end = () => {
-			clearTimeout(timer);
-			signal.removeEventListener('abort', end);
-			resolve();
-		};
-
-		const timer = setTimeout(end, time);
-		signal.addEventListener('abort', end, {once: true});
-	});
-}
-
 function partsOf({first, firstMemory, readers, reading}: Extract<PromptDecision, {kind: 'place'}>) {
 	return [
 		{
--- a/src/serving/forwarded-request.ts
+++ b/src/serving/forwarded-request.ts
@@ -181,9 +181,6 @@
 				onEvent: (event, gap) => {
 					this.#delivered(event, gap, engine);
 				},
-				onLoad(load) {
-					engine.observeLoad(load);
-				},
 				onOutcome: resolve,
 			});
 		});
--- a/src/serving/model.ts
+++ b/src/serving/model.ts
@@ -66,8 +66,6 @@
 /** One service of the configuration. */
 export type Service = {
 	name: string;
-	/** Connections that one engine accepts from all callers together. */
-	connectionLimit: number;
 	/** Speeds of its engines; undefined for services that run no language model. */
 	engineCost: EngineCost | undefined;
 };
@@ -157,8 +155,6 @@
 	/** Whether the body is in some encoding that no caller asked for. */
 	encoded: boolean;
 	isEventStream: boolean;
-	/** Running requests, waiting requests and slots, where the engine tells them. */
-	load: {running: number; waiting: number; slots: number} | undefined;
 	/** Engine that a joint reading failed at, as "IP:port" or its id. */
 	faultyEngine: string | undefined;
 };
--- a/src/serving/serving-instance.ts
+++ b/src/serving/serving-instance.ts
@@ -5,9 +5,9 @@
  */
 import http from 'node:http';
 import {performance} from 'node:perf_hooks';
-import {setTimeout as sleep} from 'node:timers/promises';
 import {errorMessage} from '../errors/errors.js';
 import {PeerNews} from '../peers/peer-news.js';
+import {delay} from '../request/time-limit.js';
 import {fetchTable, type TableNumber, TableServer} from '../peers/table-exchange.js';
 import {EngineReputation} from '../placement/engine-reputation.js';
 import {LoadBook} from '../placement/load-book.js';
@@ -206,7 +206,7 @@
 				break;
 			}
 
-			await sleep(idleCheck); // eslint-disable-line no-await-in-loop
+			await delay(idleCheck); // eslint-disable-line no-await-in-loop
 		}
 
 		log.info('instance.stopped', {active: this.#admission.active, duration: Math.round(elapsed())});
@@ -229,7 +229,7 @@
 
 	/** Writes this instance's address to the store, for others that find no seed, and reads theirs if it found none. */
 	async #join(): Promise<void> {
-		await sleep(joinDelay * (1 + Math.random()));
+		await delay(joinDelay * (1 + Math.random()));
 		const {store, tables: {instances}, instance, ip, log} = this.#options;
 		while (!this.#isJoined && this.#state === 'serving') {
 			try {
@@ -240,7 +240,7 @@
 				log.info('instance.joined', {peers: this.#peers.size, read: rows.length});
 			} catch (error) {
 				log.warn('instance.join-failed', {reason: errorMessage(error)});
-				await sleep(joinRetry * (0.5 + Math.random())); // eslint-disable-line no-await-in-loop
+				await delay(joinRetry * (0.5 + Math.random())); // eslint-disable-line no-await-in-loop
 			}
 		}
 	}
--- a/src/watch/table-watch.ts
+++ b/src/watch/table-watch.ts
@@ -4,8 +4,8 @@
  * @module
  */
 import {performance} from 'node:perf_hooks';
-import {setTimeout as sleep} from 'node:timers/promises';
 import {errorMessage} from '../errors/errors.js';
+import {delay} from '../request/time-limit.js';
 import {HistoryLostError, type RowChange, type RowSource} from './row-source.js';
 
 /** First and longest time in milliseconds between two calls while the store does not answer. */
@@ -161,7 +161,7 @@
 		this.#confirmedAt = performance.now();
 		if (rows.length > 0) {
 			listener.changed(rows, version);
-			await sleep(gatherTime);
+			await delay(gatherTime, this.#closing.signal);
 		} else {
 			listener.confirm?.(version);
 		}
@@ -182,7 +182,7 @@
 			this.#options.listener.lost(errorMessage(error));
 		}
 
-		const delay = Math.min(this.#options.isHelped() ? patientRetry : longestRetry, firstRetry * (retryGrowth ** (this.#failures - 1)));
-		await sleep(delay * (1 - (waitSpread * this.#random())));
+		const time = Math.min(this.#options.isHelped() ? patientRetry : longestRetry, firstRetry * (retryGrowth ** (this.#failures - 1)));
+		await delay(time * (1 - (waitSpread * this.#random())), this.#closing.signal);
 	}
 }
