fix(watch): give no new work to an engine that is missing from a whole table

Cause: the list of engines that take new work was made anew before engines missing from a whole table were removed, so that an instance that took the table from a peer went on using them until the next change. Ruled out: followers that lost the store (four of five had; the fifth told the change at once); foreign entries. Change: the list is made after the removals. The new test of the catalogue failed before.

--- a/src/watch/__tests__/engine-catalogue.test.ts
+++ b/src/watch/__tests__/engine-catalogue.test.ts
@@ -45,6 +45,14 @@
 	t.deepEqual(ready(), []);
 });
 
+test('an engine that is missing from a whole table gets no new work', t => {
+	const {engines, ready} = catalogue();
+	engines.replaced(rows({a: 'ready', b: 'ready'}), false);
+	engines.replaced(rows({b: 'ready'}), false);
+
+	t.deepEqual(ready(), ['b']);
+});
+
 test('an engine that starts again under its id is told of', t => {
 	const {engines, changes} = catalogue();
 	engines.replaced(rows({a: 'ready 1'}), false);
--- a/src/watch/engine-catalogue.ts
+++ b/src/watch/engine-catalogue.ts
@@ -63,6 +63,8 @@
 				this.#missing(id);
 			}
 		}
+
+		this.#index();
 	}
 
 	changed(rows: readonly RowChange[]): void {
