fix(serving): let the engine go where a request's time is over when it is chosen

Cause: since attempts are kept in RequestLife, an attempt after the deadline throws; the chosen engine was then never released, so that its reservations were renewed for ever (a process that stood still, or a deadline of 0). Ruled out: the timer of the request, which may fire after the choice. Change: the request is ended as one whose time is over, and the engine released. The test failed before.

--- /dev/null
+++ b/src/serving/__tests__/forwarded-request.test.ts
@@ -0,0 +1,52 @@
+import {Buffer} from 'node:buffer';
+import http from 'node:http';
+import net from 'node:net';
+import {performance} from 'node:perf_hooks';
+import test from 'ava';
+import {EventLog} from '../../telemetry/log.js';
+import {CallerAnswer} from '../caller-answer.js';
+import type {ChosenEngine, EngineChooser} from '../engine-chooser.js';
+import {ForwardedRequest} from '../forwarded-request.js';
+import type {RequestProtocol, Route} from '../model.js';
+import {RepeatBudget} from '../repeat-budget.js';
+import {ServingMetrics} from '../serving-metrics.js';
+
+const route: Route = {
+	name: 'r', host: 'a', prefix: '/', kind: 'idempotent', resumable: false, timeout: 1000, target: 100, gapTarget: undefined, maximumEngines: 2,
+	priority: 1, anonymous: true, targets: [{service: 's', weight: 1}],
+};
+
+test('a request whose time is over when its engine is chosen is refused, and the engine let go', async t => {
+	let released = 0;
+	const engine: ChosenEngine = {
+		record: {
+			id: 'e', service: 's', host: '127.0.0.1', port: 1, address: '127.0.0.1:1', failureDomain: 'a', slots: 1, state: 'ready', startedAt: undefined,
+		},
+		rank: undefined, readers: [], firstLimit: 100, gapLimit: () => 100,
+		observeEvent: () => undefined, failed: () => undefined, rejected: () => undefined, misdirected: () => undefined,
+		release() {
+			released += 1;
+		},
+	};
+	const response = new http.ServerResponse(new http.IncomingMessage(new net.Socket()));
+	const request = new ForwardedRequest({
+		method: 'GET', path: '/', rawHeaders: [], body: Buffer.alloc(0), route, service: {name: 's', engineCost: undefined}, customer: undefined, version: 1,
+		facts: {
+			requestId: 'r1', deadline: 0, key: undefined, promptTokens: undefined, maximumAnswerTokens: 0, answerHint: undefined, lastEvent: undefined,
+		},
+		arrivedAt: performance.now(),
+		answer: new CallerAnswer(response, 'r1', () => false),
+		protocol: new Proxy<RequestProtocol>(Object.create(null), {}),
+		chooser: {choose: async () => ({kind: 'chosen', engine})} as unknown as EngineChooser, // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+		budget: new RepeatBudget({
+			ratio: 0.2, window: 10_000, allowance: 100, instances: () => 1,
+		}),
+		metrics: new ServingMetrics(),
+		log: new EventLog({write: () => undefined}),
+	});
+
+	await request.run();
+
+	t.is(released, 1);
+	t.is(response.statusCode, 503);
+});
--- a/src/serving/forwarded-request.ts
+++ b/src/serving/forwarded-request.ts
@@ -131,6 +131,13 @@
 			return;
 		}
 
+		// The time may have run out while the process stood still, before its timer could tell.
+		if (!this.#life.mayAttempt) {
+			choice.engine.release();
+			this.#timeOver();
+			return;
+		}
+
 		this.#chosen = choice.engine;
 		this.#life.admit();
 		this.#life.beginAttempt();
