refactor(platform): one composition of the store's tables, one way to replace a table's rows

Cause: the last read of the change found the tables written out in the command and in a test, the rows that are gone worked out twice, and a count and a getter that nothing reads. Change: platform/store-tables.ts, TableCopy.#replace; the count of readers and TableSpread.duty are gone.

--- a/src/commands/front.ts
+++ b/src/commands/front.ts
@@ -3,15 +3,12 @@
  *
  * @module
  */
-import {Buffer} from 'node:buffer';
 import process from 'node:process';
-import {decodeConfiguration, identifyConfiguration} from '../../platform/configuration.js';
 import {PlatformEngineOrders} from '../../platform/engine-orders.js';
-import {decodeEngineRow, decodeRowValue, identifyEngine} from '../../platform/engine-row.js';
 import {PlatformProtocol} from '../../platform/protocol.js';
 import {loadPlatformSettings, settingsPath} from '../../platform/settings.js';
 import {StoreClient} from '../../platform/store-client.js';
-import {configurationRow, engineTable, instanceTable} from '../../platform/tables.js';
+import {storeTables} from '../../platform/store-tables.js';
 import {errorMessage} from '../errors/errors.js';
 import {ServingInstance} from '../serving/serving-instance.js';
 import {descriptorSink, LineWriter} from '../telemetry/line-writer.js';
@@ -51,11 +48,7 @@
 		metrics: metricsPort === undefined ? undefined : {host: settings.ip, port: Number(metricsPort)},
 		peerPort: settings.internalPorts.first,
 		store: new StoreClient(settings.store),
-		tables: {
-			configuration: {...configurationRow, decode: value => decodeConfiguration(decodeRowValue(value)), identify: identifyConfiguration},
-			engines: {table: engineTable, decode: decodeEngineRow, identify: identifyEngine},
-			instances: {table: instanceTable, decode: value => Buffer.from(value, 'base64').toString('utf8')},
-		},
+		tables: storeTables,
 		protocol: new PlatformProtocol(),
 		orders: new PlatformEngineOrders(),
 		log: log.with({instance: settings.instance}),
--- a/src/placement/load-book.ts
+++ b/src/placement/load-book.ts
@@ -58,14 +58,12 @@
 	longestPart: number;
 	/** Requests that write or will write there. */
 	running: number;
-	/** Requests that only read there. */
-	helping: number;
 	memory: number;
 	writers: readonly Writer[];
 };
 
 const idle: EngineLoadView = {
-	backlog: 0, longestPart: 0, running: 0, helping: 0, memory: 0, writers: [],
+	backlog: 0, longestPart: 0, running: 0, memory: 0, writers: [],
 };
 
 /** Work at one engine. */
@@ -110,7 +108,6 @@
 		let overdue = 0;
 		let longestPart = 0;
 		let memory = 0;
-		let helping = 0;
 		const writers: Writer[] = [];
 		for (const [key, {placement, part, readEnds, begun}] of this.#entries) {
 			if (placement.expiresAt <= now) {
@@ -127,13 +124,11 @@
 
 			if (part.writes) {
 				writers.push(placement);
-			} else {
-				helping += 1;
 			}
 		}
 
 		return {
-			backlog: Math.max(0, this.#readEnds - now) + overdue, longestPart, running: writers.length, helping, memory, writers,
+			backlog: Math.max(0, this.#readEnds - now) + overdue, longestPart, running: writers.length, memory, writers,
 		};
 	}
 
--- a/src/watch/table-copy.ts
+++ b/src/watch/table-copy.ts
@@ -63,11 +63,9 @@
 
 	replaced(rows: readonly RowChange[], regained: boolean, version: number): void {
 		const before = this.#sum;
-		const present = new Set(rows.map(({key}) => key));
-		const removed = [...this.#rows.keys()].filter(key => !present.has(key)).map(key => ({key, value: undefined, removed: true}));
-		this.#apply([...rows, ...removed], version);
+		const changes = this.#replace(rows, version);
 		this.#options.listener.replaced(rows, regained, version);
-		this.#tell(before, [...rows, ...removed]);
+		this.#tell(before, changes);
 	}
 
 	changed(rows: readonly RowChange[], version: number): void {
@@ -105,13 +103,20 @@
 	/** Takes all rows of a peer, unless what is known here is newer. */
 	takeAll(rows: readonly RowChange[], state: TableState): void {
 		if (this.isBehind(state)) {
-			const present = new Set(rows.map(({key}) => key));
-			const removed = [...this.#rows.keys()].filter(key => !present.has(key)).map(key => ({key, value: undefined, removed: true}));
-			this.#apply([...rows, ...removed], state.asOf);
+			this.#replace(rows, state.asOf);
 			this.#options.listener.replaced(rows, false, state.asOf);
 		}
 	}
 
+	/** Puts rows in the place of all that are known. @returns the rows with those that are gone. */
+	#replace(rows: readonly RowChange[], version: number): RowChange[] {
+		const present = new Set(rows.map(({key}) => key));
+		const removed = [...this.#rows.keys()].filter(key => !present.has(key)).map(key => ({key, value: undefined, removed: true}));
+		const changes = [...rows, ...removed];
+		this.#apply(changes, version);
+		return changes;
+	}
+
 	#apply(rows: readonly RowChange[], version: number): void {
 		for (const {key, value, removed} of rows) {
 			const known = this.#rows.get(key);
--- a/src/watch/table-spread.ts
+++ b/src/watch/table-spread.ts
@@ -62,10 +62,6 @@
 		this.#random = options.random ?? Math.random;
 	}
 
-	get duty(): Duty {
-		return this.#duty;
-	}
-
 	/** What goes with each message of this instance. */
 	get news(): Omit<SpreadNews, 'deltas'> {
 		const [first, second] = this.#options.tables;
