test(serving): use the platform's protocol in the test of a late choice

Cause: an empty stand-in of the protocol was not typed. Change: the real one in its place; the assertions are the same. Measured: lint clean, the test passes.

--- a/src/serving/__tests__/forwarded-request.test.ts
+++ b/src/serving/__tests__/forwarded-request.test.ts
@@ -3,11 +3,12 @@
 import net from 'node:net';
 import {performance} from 'node:perf_hooks';
 import test from 'ava';
+import {PlatformProtocol} from '../../../platform/protocol.js';
 import {EventLog} from '../../telemetry/log.js';
 import {CallerAnswer} from '../caller-answer.js';
 import type {ChosenEngine, EngineChooser} from '../engine-chooser.js';
 import {ForwardedRequest} from '../forwarded-request.js';
-import type {RequestProtocol, Route} from '../model.js';
+import type {Route} from '../model.js';
 import {RepeatBudget} from '../repeat-budget.js';
 import {ServingMetrics} from '../serving-metrics.js';
 
@@ -36,7 +37,7 @@
 		},
 		arrivedAt: performance.now(),
 		answer: new CallerAnswer(response, 'r1', () => false),
-		protocol: new Proxy<RequestProtocol>(Object.create(null), {}),
+		protocol: new PlatformProtocol(),
 		chooser: {choose: async () => ({kind: 'chosen', engine})} as unknown as EngineChooser, // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
 		budget: new RepeatBudget({
 			ratio: 0.2, window: 10_000, allowance: 100, instances: () => 1,
