fix(serving): keep a silent engine until another one goes on with the answer

Cause: a stream that fell silent for a second was given up at its engine first, and only then another engine was looked for. Where none took it (overload after an outage), the answer was cut although its engine was still at work.

Ruled out: an engine that had died (it went on with other streams); the repeat budget (not spent); a cut between instance and engine (the links were calm).

Change: the engines of one request are kept together (`open-attempts`). A silent one stays while another is asked beside it, and the first to go on answers. An answer that has begun and lost its engine is placed without the limit for overload, and waits while no engine takes it, as long as it can still be in time.

--- a/bench/placement/simulation.ts
+++ b/bench/placement/simulation.ts
@@ -107,7 +107,8 @@
 			record, load: book.view(record.id, now), pace: 1, isAvoided: false, order: engineOrder(record.id),
 		}));
 		const decision = placePrompt({
-			promptTokens: tokens, answerTokens: hint, target: kind.target, gapTarget: kind.gapTarget, remaining: at + kind.deadline - now, isReturning: this.#tries > 0,
+			promptTokens: tokens, answerTokens: hint, target: kind.target, gapTarget: kind.gapTarget, remaining: at + kind.deadline - now,
+			standing: this.#tries > 0 ? 'returning' : 'fresh',
 		}, deployment.cost, candidates);
 		if (decision.kind === 'refuse') {
 			this.#turnAway(decision.retryAfter);
--- a/src/placement/__tests__/prompt-placement.test.ts
+++ b/src/placement/__tests__/prompt-placement.test.ts
@@ -9,10 +9,10 @@
 };
 
 const short: PromptTerms = {
-	promptTokens: 5000, answerTokens: 1600, target: 300, gapTarget: 250, remaining: 10_000, isReturning: false,
+	promptTokens: 5000, answerTokens: 1600, target: 300, gapTarget: 250, remaining: 10_000, standing: 'fresh',
 };
 const long: PromptTerms = {
-	promptTokens: 150_000, answerTokens: 800, target: 3000, gapTarget: 1000, remaining: 15_000, isReturning: false,
+	promptTokens: 150_000, answerTokens: 800, target: 3000, gapTarget: 1000, remaining: 15_000, standing: 'fresh',
 };
 
 function candidate(number: number, rest: Partial<PromptCandidate> = {}): PromptCandidate {
@@ -134,5 +134,12 @@
 }
 
 test('a prompt that comes back may wait twice its target', t => {
-	t.like(placePrompt({...short, isReturning: true}, cost, [candidate(1, {load: load(450, 0)})]), {kind: 'place'});
+	t.like(placePrompt({...short, standing: 'returning'}, cost, [candidate(1, {load: load(450, 0)})]), {kind: 'place'});
+});
+
+test('a prompt whose answer has begun is placed as long as its caller stays', t => {
+	const waiting = load(1500, 0);
+
+	t.like(placePrompt({...short, standing: 'returning'}, cost, [candidate(1, {load: waiting})]), {kind: 'refuse', reason: 'overloaded'});
+	t.like(placePrompt({...short, standing: 'begun'}, cost, [candidate(1, {load: waiting})]), {kind: 'place'});
 });
--- a/src/placement/prompt-placement.ts
+++ b/src/placement/prompt-placement.ts
@@ -64,6 +64,12 @@
 /** Least time in milliseconds for which holding a request is worth a timer. */
 const shortestHold = 15;
 
+/**
+ * How far a prompt has come: new, turned away before or tried elsewhere, so that its answer is late in any case, or with a
+ * part of its answer at the caller, where it can no longer be turned away.
+ */
+export type PromptStanding = 'fresh' | 'returning' | 'begun';
+
 /** What is asked of a prompt. */
 export type PromptTerms = {
 	promptTokens: number;
@@ -72,8 +78,7 @@
 	gapTarget: number;
 	/** Time that is left of the request. */
 	remaining: number;
-	/** Whether the caller was turned away before, so that its answer is late in any case. */
-	isReturning: boolean;
+	standing: PromptStanding;
 };
 
 /** One engine that may be chosen. */
@@ -122,7 +127,7 @@
  * Factors on the target beyond which a prompt is turned away while the fleet is overloaded: queueing it would make it
  * late, and those behind it too. One that comes back is late in any case and may wait longer.
  */
-const shedLimits = {fresh: 0.8, returning: 2};
+const shedLimits: Readonly<Record<PromptStanding, number>> = {fresh: 0.8, returning: 2, begun: Number.POSITIVE_INFINITY};
 
 /** Least Retry-After of such a prompt, as a factor on its target: a burst is over by then, or the caller's third of its time. */
 const shedRetry = 10;
@@ -163,7 +168,7 @@
 		return {kind: 'refuse', reason: 'too-late', retryAfter: retryAfter(terms, best.expected - (limit / 2))};
 	}
 
-	if (best.expected > (terms.isReturning ? shedLimits.returning : shedLimits.fresh) * terms.target) {
+	if (best.expected > shedLimits[terms.standing] * terms.target) {
 		return {kind: 'refuse', reason: 'overloaded', retryAfter: retryAfter(terms, Math.max(best.expected, shedRetry * terms.target))};
 	}
 
--- a/src/serving/__tests__/engine-chooser.test.ts
+++ b/src/serving/__tests__/engine-chooser.test.ts
@@ -22,7 +22,7 @@
 };
 
 const terms: ChoiceTerms = {
-	requestId: 'r1', service, route, remaining: 15_000, excluded: new Set(), attempt: 1, signal: new AbortController().signal,
+	requestId: 'r1', service, route, remaining: 15_000, excluded: new Set(), attempt: 1, isBegun: false, signal: new AbortController().signal,
 	facts: {
 		requestId: 'r1', deadline: 15_000, key: undefined, promptTokens: 100_000, maximumAnswerTokens: 800, answerHint: 800, lastEvent: undefined,
 	},
--- /dev/null
+++ b/src/serving/__tests__/silent-engine.test.ts
@@ -0,0 +1,278 @@
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import http from 'node:http';
+import {performance} from 'node:perf_hooks';
+import test, {type ExecutionContext} from 'ava';
+import {PlatformProtocol} from '../../../platform/protocol.js';
+import {EventLog} from '../../telemetry/log.js';
+import {CallerAnswer} from '../caller-answer.js';
+import type {Choice, ChosenEngine, EngineChooser} from '../engine-chooser.js';
+import {ForwardedRequest} from '../forwarded-request.js';
+import type {AnswerFacts, Route} from '../model.js';
+import {RepeatBudget} from '../repeat-budget.js';
+import {ServingMetrics} from '../serving-metrics.js';
+
+const route: Route = {
+	name: 'r', host: 'a', prefix: '/', kind: 'stream', resumable: true, timeout: 20_000, target: 100, gapTarget: 50, maximumEngines: 3,
+	priority: 1, anonymous: true, targets: [{service: 's', weight: 1}],
+};
+
+/** Time in milliseconds after which the first engine counts as silent. */
+const silence = 40;
+
+class TrustingProtocol extends PlatformProtocol {
+	override readAnswer(headers: NodeJS.Dict<string | string[]>): AnswerFacts {
+		return {...super.readAnswer(headers), signed: true};
+	}
+}
+
+/** An engine that is driven by the test. */
+class ScriptedEngine {
+	readonly server: http.Server;
+	failures = 0;
+	/** Answer to the latest request. */
+	answer: http.ServerResponse | undefined;
+	lastEvent: string | undefined;
+	isClosed = false;
+	closed: Promise<unknown> = Promise.resolve();
+
+	/** @param silence - Time in milliseconds without an event after which it counts as silent. */
+	constructor(readonly id: string, readonly silence: number, onRequest: (engine: ScriptedEngine) => void) {
+		this.server = http.createServer((request, response) => {
+			this.answer = response;
+			this.lastEvent = request.headers['last-event-id']?.toString();
+			response.on('close', () => {
+				this.isClosed = !response.writableFinished;
+			});
+			this.closed = once(response, 'close');
+			onRequest(this);
+		});
+	}
+
+	emit(...ids: number[]): void {
+		if (!this.answer!.headersSent) {
+			this.answer!.writeHead(200, {'Content-Type': 'text/event-stream'});
+		}
+
+		this.answer!.write(ids.map(id => `id: ${id}\ndata: ${id}\n\n`).join(''));
+	}
+
+	end(): void {
+		this.answer!.end();
+	}
+
+	async chosen(): Promise<ChosenEngine> {
+		this.server.listen(0, '127.0.0.1');
+		await once(this.server, 'listening');
+		const port = portOf(this.server);
+		return {
+			record: {
+				id: this.id, service: 's', host: '127.0.0.1', port, address: `127.0.0.1:${port}`, failureDomain: 'a', slots: 1, state: 'ready', startedAt: undefined,
+			},
+			rank: undefined, readers: [], firstLimit: Number.POSITIVE_INFINITY, gapLimit: () => this.silence,
+			observeEvent: () => undefined, rejected: () => undefined, misdirected: () => undefined, release: () => undefined,
+			failed: () => {
+				this.failures += 1;
+			},
+		};
+	}
+}
+
+function portOf(server: http.Server): number {
+	const address = server.address();
+	return typeof address === 'object' && address ? address.port : 0;
+}
+
+const refusal: Extract<Choice, {kind: 'refused'}> = {
+	kind: 'refused', code: '3002', reason: 'overloaded', retryAfter: 100, isPassing: true,
+};
+
+/** Serves one request; each later choice is made by `chooseNext`. @returns what the caller got. */
+async function serve(t: ExecutionContext, first: ScriptedEngine, chooseNext: (attempt: number) => Promise<Choice>) {
+	let choices = 0;
+	const chosenFirst = await first.chosen();
+	const instance = http.createServer((_, response) => {
+		void new ForwardedRequest({
+			method: 'GET', path: '/', rawHeaders: ['Host', 'a'], body: Buffer.alloc(0), route, service: {name: 's', engineCost: undefined}, customer: undefined, version: 1,
+			facts: {
+				requestId: 'r1', deadline: undefined, key: undefined, promptTokens: undefined, maximumAnswerTokens: 0, answerHint: undefined, lastEvent: undefined,
+			},
+			arrivedAt: performance.now(),
+			answer: new CallerAnswer(response, 'r1', () => false),
+			protocol: new TrustingProtocol(),
+			chooser: { // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+				async choose() {
+					choices += 1;
+					return choices === 1 ? {kind: 'chosen', engine: chosenFirst} : chooseNext(choices);
+				},
+			} as unknown as EngineChooser,
+			budget: new RepeatBudget({
+				ratio: 1, window: 10_000, allowance: 100, instances: () => 1,
+			}),
+			metrics: new ServingMetrics(),
+			log: new EventLog({write: () => undefined}),
+		}).run();
+	});
+	instance.listen(0, '127.0.0.1');
+	await once(instance, 'listening');
+	t.teardown(() => {
+		for (const server of [instance, first.server]) {
+			server.closeAllConnections();
+			server.close();
+		}
+	});
+	const request = http.get({host: '127.0.0.1', port: portOf(instance), agent: false});
+	const response = await new Promise<http.IncomingMessage>(resolve => {
+		request.once('response', resolve);
+	});
+	const parts: Uint8Array[] = [];
+	response.on('data', (part: Uint8Array) => {
+		parts.push(part);
+	});
+	const closed = new Promise(resolve => {
+		response.on('close', resolve);
+	});
+	response.on('error', error => {
+		t.is(error.message, 'aborted');
+	});
+	await closed;
+	return {
+		isWhole: response.complete,
+		ids: [...Buffer.concat(parts).toString().matchAll(/id: (\d+)/gv)].map(([, id]) => Number(id)),
+	};
+}
+
+test('a silent engine is kept where no other one takes the request', async t => {
+	const engine = new ScriptedEngine('first', silence, ({emit}) => {
+		emit.call(engine, 0, 1);
+	});
+
+	const got = await serve(t, engine, async choices => {
+		if (choices === 3) {
+			engine.emit(2);
+			engine.end();
+		}
+
+		return refusal;
+	});
+
+	t.deepEqual(got, {isWhole: true, ids: [0, 1, 2]});
+	t.is(engine.failures, 0);
+});
+
+const endings: Array<{name: string; second: (second: ScriptedEngine, first: ScriptedEngine) => void; firstIsClosed: boolean}> = [
+	{
+		name: 'a silent engine is let go when the second one goes on',
+		second(second) {
+			second.emit(2, 3);
+			second.end();
+		},
+		firstIsClosed: true,
+	},
+	{
+		name: 'a silent engine that speaks again goes on, and the second one is let go',
+		second(_, first) {
+			first.emit(2, 3);
+			first.end();
+		},
+		firstIsClosed: false,
+	},
+	{
+		name: 'a silent engine goes on where the second one breaks off',
+		second(second, first) {
+			second.answer!.destroy();
+			first.emit(2, 3);
+			first.end();
+		},
+		firstIsClosed: false,
+	},
+	{
+		name: 'the second engine goes on where the silent one breaks off',
+		second(second, first) {
+			first.answer!.destroy();
+			first.answer!.once('close', () => {
+				second.emit(2, 3);
+				second.end();
+			});
+		},
+		firstIsClosed: true,
+	},
+];
+
+for (const {name, second: script, firstIsClosed} of endings) {
+	test(name, async t => {
+		const first = new ScriptedEngine('first', silence, engine => {
+			engine.emit(0, 1);
+		});
+		const second = new ScriptedEngine('second', Number.POSITIVE_INFINITY, engine => {
+			script(engine, first);
+		});
+		const chosenSecond = await second.chosen();
+		t.teardown(() => {
+			second.server.closeAllConnections();
+			second.server.close();
+		});
+
+		const got = await serve(t, first, async choices => choices === 2 ? {kind: 'chosen', engine: chosenSecond} : refusal);
+
+		t.deepEqual(got, {isWhole: true, ids: [0, 1, 2, 3]});
+		t.is(second.lastEvent, '1');
+		t.is(first.failures, 1);
+		await first.closed;
+		t.is(first.isClosed, firstIsClosed);
+	});
+}
+
+test('an answer that has begun waits until another engine takes it', async t => {
+	const first = new ScriptedEngine('first', Number.POSITIVE_INFINITY, engine => {
+		engine.emit(0, 1);
+		setImmediate(() => {
+			engine.answer!.destroy();
+		});
+	});
+	const second = new ScriptedEngine('second', Number.POSITIVE_INFINITY, engine => {
+		engine.emit(2);
+		engine.end();
+	});
+	const chosenSecond = await second.chosen();
+	t.teardown(() => {
+		second.server.closeAllConnections();
+		second.server.close();
+	});
+
+	const got = await serve(t, first, async choices => choices < 4 ? refusal : {kind: 'chosen', engine: chosenSecond});
+
+	t.deepEqual(got, {isWhole: true, ids: [0, 1, 2]});
+});
+
+test('an answer that cannot be gone on with in time ends at once', async t => {
+	const first = new ScriptedEngine('first', Number.POSITIVE_INFINITY, engine => {
+		engine.emit(0);
+		setImmediate(() => {
+			engine.answer!.destroy();
+		});
+	});
+	let lastChoice = 0;
+
+	const got = await serve(t, first, async choices => {
+		lastChoice = choices;
+		return {...refusal, isPassing: false};
+	});
+
+	t.deepEqual(got, {isWhole: false, ids: [0]});
+	t.is(lastChoice, 2);
+});
+
+test('a request ends as failed once the silent engine and the one beside it have broken off', async t => {
+	const first = new ScriptedEngine('first', silence, engine => {
+		engine.emit(0);
+	});
+
+	const got = await serve(t, first, async () => {
+		first.answer!.destroy();
+		await first.closed;
+		return {...refusal, isPassing: false};
+	});
+
+	t.deepEqual(got, {isWhole: false, ids: [0]});
+});
--- a/src/serving/engine-answer.ts
+++ b/src/serving/engine-answer.ts
@@ -34,7 +34,17 @@
 		/** The engine ran the request and failed; `deliver` passes its answer on and returns its status. */
 		| {kind: 'failure'; status: number; deliver: () => number}
 		/** No whole answer came; the request may have run. */
-		| {kind: 'broken' | 'stalled'; reason: string};
+		| {kind: 'broken'; reason: string};
+
+/** Told how an attempt goes. */
+export interface EngineAnswerListener {
+	/** The engine gave no sign for a time in milliseconds; told again after each such time, and the attempt goes on. */
+	silent(limit: number): void;
+	/** An event was passed on. @param gap - Time in milliseconds since the one before. */
+	event(id: number | undefined, gap: number): void;
+	/** The attempt is over. */
+	ended(outcome: AnswerOutcome): void;
+}
 
 /** What an attempt needs. */
 export type EngineAnswerOptions = {
@@ -44,16 +54,11 @@
 	answer: CallerAnswer;
 	/** Number of the last event that the caller has. */
 	lastEvent: number | undefined;
-	isRepeatable: boolean;
-	/** Whether another engine could be asked instead of waiting on. */
-	mayRepeat: () => boolean;
-	/** Time in milliseconds after which a repeatable request is taken to be lost at this engine. */
+	/** Time in milliseconds without a first event or whole answer after which the engine counts as silent. */
 	firstLimit: number;
-	/** Pause in milliseconds between two events after which the stream is taken to be lost, asked at each event. */
+	/** The same after an event, asked at each one. */
 	gapLimit: () => number;
-	/** Told of each event passed on and the time since the one before. */
-	onEvent: (id: number | undefined, gap: number) => void;
-	onOutcome: (outcome: AnswerOutcome) => void;
+	listener: EngineAnswerListener;
 };
 
 /** One attempt at one engine. */
@@ -101,21 +106,16 @@
 		this.#end({kind: 'broken', reason: 'given up by this instance'});
 	}
 
-	/** Waits for a sign of the engine, as long as another one could be asked instead. */
+	/** Tells when the engine gives no sign for a time, again and again. */
 	#arm(limitNow: () => number): void {
 		clearTimeout(this.#timer);
 		const limit = limitNow();
-		if (!this.#options.isRepeatable || !Number.isFinite(limit)) {
-			return;
-		}
-
-		this.#timer = setTimeout(() => {
-			if (this.#options.mayRepeat()) {
-				this.#end({kind: 'stalled', reason: `nothing came for ${Math.round(limit)} ms`});
-			} else {
+		if (Number.isFinite(limit)) {
+			this.#timer = setTimeout(() => {
 				this.#arm(limitNow);
-			}
-		}, limit);
+				this.#options.listener.silent(limit);
+			}, limit);
+		}
 	}
 
 	#receiveHead(head: AnswerHead): void {
@@ -169,7 +169,7 @@
 			return false;
 		}
 
-		const {answer, protocol, onEvent, gapLimit} = this.#options;
+		const {answer, protocol, listener, gapLimit} = this.#options;
 		if (!answer.hasBegun) {
 			answer.begin(this.#head!.status, protocol.answer(this.#head!.rawHeaders));
 		}
@@ -181,7 +181,7 @@
 
 		const now = performance.now();
 		this.#lastEvent = id ?? this.#lastEvent;
-		onEvent(id, now - this.#lastEventAt);
+		listener.event(id, now - this.#lastEventAt);
 		this.#lastEventAt = now;
 		this.#arm(gapLimit);
 		return true;
@@ -248,6 +248,6 @@
 		this.#isOver = true;
 		clearTimeout(this.#timer);
 		this.#exchange.abort();
-		this.#options.onOutcome(outcome);
+		this.#options.listener.ended(outcome);
 	}
 }
--- a/src/serving/engine-chooser.ts
+++ b/src/serving/engine-chooser.ts
@@ -6,7 +6,7 @@
 import {performance} from 'node:perf_hooks';
 import type {ErrorCode} from '../errors/catalogue.js';
 import type {PlacementDesk} from '../placement/placement-desk.js';
-import {patience, type PromptDecision} from '../placement/prompt-placement.js';
+import {patience, type PromptDecision, type PromptStanding} from '../placement/prompt-placement.js';
 import {passTime} from '../placement/reading-time.js';
 import {Reservations, type ReservationsOptions} from '../placement/reservations.js';
 import {delay} from '../request/time-limit.js';
@@ -26,6 +26,8 @@
 	excluded: ReadonlySet<string>;
 	/** Number of this attempt, from 1. */
 	attempt: number;
+	/** Whether the caller has a part of the answer, and no engine goes on with it. */
+	isBegun: boolean;
 	/** Aborts when the request is over. */
 	signal: AbortSignal;
 };
@@ -52,7 +54,15 @@
 	release(): void;
 };
 
-export type Choice = {kind: 'chosen'; engine: ChosenEngine} | {kind: 'refused'; code: ErrorCode; reason: string; retryAfter: number};
+export type Choice = {kind: 'chosen'; engine: ChosenEngine} | {
+	kind: 'refused';
+	code: ErrorCode;
+	reason: string;
+	/** Time in milliseconds after which asking again makes sense. */
+	retryAfter: number;
+	/** Whether an engine may take the request a moment later, still in time. */
+	isPassing: boolean;
+};
 
 /** What the chooser works with. */
 export type EngineChooserOptions = {
@@ -125,7 +135,7 @@
 				request: requestId, service: service.name, reason: 'no-engine', excluded: excluded.size,
 			});
 			return {
-				kind: 'refused', code: '3005', reason: `no engine of service "${service.name}" is ready`, retryAfter: noEngineRetry,
+				kind: 'refused', code: '3005', reason: `no engine of service "${service.name}" is ready`, retryAfter: noEngineRetry, isPassing: true,
 			};
 		}
 
@@ -162,7 +172,7 @@
 			answerTokens: Math.min(facts.maximumAnswerTokens > 0 ? facts.maximumAnswerTokens : Number.POSITIVE_INFINITY, facts.answerHint ?? cost.usual.answer),
 			target: route.target,
 			gapTarget: route.gapTarget ?? Number.POSITIVE_INFINITY,
-			isReturning: terms.attempt > 1 || (facts.deadline ?? 0) < route.timeout * returningShare,
+			standing: standingOf(terms),
 			get remaining() {
 				return remaining - (performance.now() - arrivedAt);
 			},
@@ -172,7 +182,7 @@
 			this.#log(terms, promptTokens, decision);
 			if (decision.kind === 'refuse') {
 				return {
-					kind: 'refused', code: refusalCodes[decision.reason], reason: decision.reason, retryAfter: decision.retryAfter,
+					kind: 'refused', code: refusalCodes[decision.reason], reason: decision.reason, retryAfter: decision.retryAfter, isPassing: decision.reason !== 'too-late',
 				};
 			}
 
@@ -208,7 +218,7 @@
 
 		log.warn('placement.refused', {request: requestId, service: service.name, reason: 'no-placement-held'});
 		return {
-			kind: 'refused', code: '3004', reason: 'no engine kept its memory or stayed', retryAfter: noEngineRetry,
+			kind: 'refused', code: '3004', reason: 'no engine kept its memory or stayed', retryAfter: noEngineRetry, isPassing: true,
 		};
 	}
 
@@ -290,6 +300,14 @@
 	}
 }
 
+function standingOf({attempt, isBegun, facts, route}: ChoiceTerms): PromptStanding {
+	if (isBegun) {
+		return 'begun';
+	}
+
+	return attempt > 1 || (facts.deadline ?? 0) < route.timeout * returningShare ? 'returning' : 'fresh';
+}
+
 function partsOf({first, firstMemory, readers, reading}: Extract<PromptDecision, {kind: 'place'}>) {
 	return [
 		{
--- a/src/serving/forwarded-request.ts
+++ b/src/serving/forwarded-request.ts
@@ -7,13 +7,15 @@
 import {match} from 'ts-pattern';
 import type {ErrorCode} from '../errors/catalogue.js';
 import {RequestLife} from '../request/life.js';
+import {delay} from '../request/time-limit.js';
 import type {EventLog, LogFields} from '../telemetry/log.js';
 import type {CallerAnswer} from './caller-answer.js';
-import type {ChosenEngine, EngineChooser} from './engine-chooser.js';
-import {EngineAnswer, type AnswerOutcome} from './engine-answer.js';
+import type {Choice, ChosenEngine, EngineChooser} from './engine-chooser.js';
+import {EngineAnswer, type AnswerOutcome, type EngineAnswerListener} from './engine-answer.js';
 import type {
 	CustomerKeys, RequestFacts, RequestProtocol, Route, Service,
 } from './model.js';
+import {OpenAttempts, type OpenAttempt} from './open-attempts.js';
 import type {RepeatBudget} from './repeat-budget.js';
 import type {ServingMetrics} from './serving-metrics.js';
 
@@ -29,6 +31,9 @@
 /** Retry-After in milliseconds of a request that engines turned away. */
 const rejectedRetry = 150;
 
+/** Time in milliseconds after which an engine is looked for again for an answer that has begun; a few passes, in which places become free. */
+const begunRetry = 100;
+
 /** What a request is answered with, and what it needs on its way. */
 export type ForwardedRequestOptions = {
 	method: string;
@@ -59,7 +64,7 @@
 	readonly #over = new AbortController();
 	#sent = 0;
 	#unsent = 0;
-	#current: EngineAnswer | undefined;
+	readonly #attempts: OpenAttempts;
 	#chosen: ChosenEngine | undefined;
 	#lastEvent: number | undefined;
 	#firstEventAt: number | undefined;
@@ -78,6 +83,21 @@
 			idempotencyKey: undefined,
 		});
 		this.#lastEvent = facts.lastEvent;
+		this.#attempts = new OpenAttempts({
+			start: (engine, listener) => this.#send(engine, listener),
+			mayRelieve: () => this.#isRepeatable && this.#mayRepeat && this.#unsent < maximumUnsent && options.budget.hasRepeat(options.service.name),
+			chooseRelief: async () => {
+				const choice = await this.#choose();
+				return choice?.kind === 'chosen' ? choice.engine : undefined;
+			},
+			takeRelief: (silent, limit, relief) => this.#takeRelief(silent, limit, relief),
+			delivered: (event, gap, engine) => {
+				this.#delivered(event, gap, engine);
+			},
+			closed: (attempt, outcome) => {
+				this.#record(attempt, outcome);
+			},
+		});
 	}
 
 	/** Serves the request; resolves when it is over. */
@@ -110,159 +130,195 @@
 
 	/** Whether sending the request once more can neither run it twice wrongly nor exceed its engines. */
 	get #mayRepeat(): boolean {
-		return this.#life.mayAttempt && this.#sent < this.#options.route.maximumEngines && this.#life.remaining > leastRemaining;
+		return this.#life.mayAttempt && this.#sent + this.#attempts.size < this.#options.route.maximumEngines && this.#life.remaining > leastRemaining;
 	}
 
+	/** Asks one engine, and others beside it while it is silent, until an answer is whole or all have failed. */
 	async #attempt(): Promise<void> {
-		const {chooser, route, service, facts, log} = this.#options;
-		const choice = await chooser.choose({
-			requestId: facts.requestId ?? '', service, route, facts, remaining: this.#life.remaining, excluded: this.#excluded, attempt: this.#sent + 1, signal: this.#over.signal,
-		});
-		if (this.#isOver) {
-			if (choice.kind === 'chosen') {
-				choice.engine.release();
-			}
-
+		const choice = await this.#choose();
+		if (!choice) {
 			return;
 		}
 
 		if (choice.kind === 'refused') {
+			if (this.#options.answer.hasBegun && choice.isPassing && this.#life.remaining > leastRemaining) {
+				await delay(Math.min(choice.retryAfter, begunRetry), this.#over.signal);
+				return;
+			}
+
 			this.#turnAway(choice.code, choice.reason, choice.retryAfter);
 			return;
 		}
 
+		const outcome = await this.#attempts.run(choice.engine);
+		if (!this.#isOver) {
+			this.#proceed(outcome);
+		}
+	}
+
+	/** @returns undefined where the request ended meanwhile. */
+	async #choose(): Promise<Choice | undefined> {
+		const {chooser, route, service, facts, answer} = this.#options;
+		const choice = await chooser.choose({
+			requestId: facts.requestId ?? '', service, route, facts, remaining: this.#life.remaining,
+			excluded: new Set([...this.#excluded, ...this.#attempts.engineIds]),
+			attempt: this.#sent + this.#attempts.size + 1, isBegun: answer.hasBegun && this.#attempts.size === 0, signal: this.#over.signal,
+		});
 		// The time may have run out while the process stood still, before its timer could tell.
-		if (!this.#life.mayAttempt) {
-			choice.engine.release();
+		if (!this.#isOver && choice.kind === 'chosen' && !this.#life.mayAttempt) {
 			this.#timeOver();
-			return;
 		}
 
-		this.#chosen = choice.engine;
-		this.#life.admit();
-		this.#life.beginAttempt();
-		const outcome = await this.#send(choice.engine);
-		this.#current = undefined;
-		choice.engine.release();
-		if (this.#isOver) {
-			return;
+		if (!this.#isOver) {
+			return choice;
 		}
 
-		if (outcome.kind !== 'complete') {
-			log.info('request.attempt-failed', {
-				...this.#ids, engine: choice.engine.record.id, outcome: outcome.kind, reason: 'reason' in outcome ? outcome.reason : undefined,
-				sent: this.#sent, delivered: this.#lastEvent,
-			});
+		if (choice.kind === 'chosen') {
+			choice.engine.release();
 		}
 
-		this.#settle(outcome, choice.engine);
+		return undefined;
 	}
 
-	async #send(engine: ChosenEngine): Promise<AnswerOutcome> {
-		const {protocol, rawHeaders, customer, method, path, body, facts, route, answer} = this.#options;
-		return new Promise(resolve => {
-			this.#current = new EngineAnswer({
-				exchange: {
-					host: engine.record.host,
-					port: engine.record.port,
-					method,
-					path,
-					headers: protocol.forward(rawHeaders, {
-						remaining: this.#life.remaining,
-						engineId: engine.record.id,
-						customer: customer?.name,
-						rank: engine.rank,
-						readers: engine.readers,
-						lastEvent: this.#lastEvent === facts.lastEvent ? undefined : this.#lastEvent,
-					}),
-					body,
-				},
-				protocol,
-				requestId: facts.requestId,
-				answer,
-				lastEvent: this.#lastEvent,
-				isRepeatable: this.#isRepeatable,
-				mayRepeat: () => this.#sent + 1 < route.maximumEngines && this.#life.remaining > leastRemaining && this.#options.budget.hasRepeat(this.#options.service.name),
-				firstLimit: engine.firstLimit,
-				gapLimit: engine.gapLimit,
-				onEvent: (event, gap) => {
-					this.#delivered(event, gap, engine);
-				},
-				onOutcome: resolve,
-			});
+	#send(engine: ChosenEngine, listener: EngineAnswerListener): EngineAnswer {
+		const {protocol, rawHeaders, customer, method, path, body, facts, answer} = this.#options;
+		this.#chosen = engine;
+		this.#life.admit();
+		this.#life.wait();
+		this.#life.beginAttempt();
+		return new EngineAnswer({
+			exchange: {
+				host: engine.record.host,
+				port: engine.record.port,
+				method,
+				path,
+				headers: protocol.forward(rawHeaders, {
+					remaining: this.#life.remaining,
+					engineId: engine.record.id,
+					customer: customer?.name,
+					rank: engine.rank,
+					readers: engine.readers,
+					lastEvent: this.#lastEvent === facts.lastEvent ? undefined : this.#lastEvent,
+				}),
+				body,
+			},
+			protocol,
+			requestId: facts.requestId,
+			answer,
+			lastEvent: this.#lastEvent,
+			firstLimit: engine.firstLimit,
+			gapLimit: engine.gapLimit,
+			listener,
 		});
 	}
 
+	#takeRelief({engine}: OpenAttempt, limit: number, relief: ChosenEngine): boolean {
+		const {budget, service, metrics, log} = this.#options;
+		if (!budget.tryRepeat(service.name)) {
+			return false;
+		}
+
+		metrics.repeated(service.name);
+		this.#avoid(engine);
+		log.info('request.relieved', {
+			...this.#ids, engine: engine.record.id, silent: Math.round(limit), to: relief.record.id, delivered: this.#lastEvent,
+		});
+		return true;
+	}
+
 	#delivered(event: number | undefined, gap: number, engine: ChosenEngine): void {
 		this.#lastEvent = event ?? this.#lastEvent;
+		this.#chosen = engine;
 		this.#life.beginStreaming();
-		if (this.#firstEventAt === undefined) {
-			this.#firstEventAt = performance.now();
-		}
-
+		this.#firstEventAt ??= performance.now();
 		engine.observeEvent(gap);
 	}
 
-	#settle(outcome: AnswerOutcome, engine: ChosenEngine): void {
+	/** Counts an attempt that has ended, and keeps what its end says of the engine. */
+	#record({engine, isRelieved, isSuperseded}: OpenAttempt, outcome: AnswerOutcome): void {
+		if (isSuperseded) {
+			this.#sent += 1;
+			return;
+		}
+
+		if (this.#isOver) {
+			return;
+		}
+
 		match(outcome)
-			.with({kind: 'complete'}, ({status}) => {
+			.with({kind: 'complete'}, () => {
 				this.#sent += 1;
-				this.#finish('answered', status);
 			})
-			.with({kind: 'unreachable'}, ({reason}) => {
-				this.#didNotRun();
+			.with({kind: 'unreachable'}, () => {
+				this.#life.attemptDidNotRun();
 				this.#unsent += 1;
 				this.#avoid(engine);
-				if (this.#unsent >= maximumUnsent) {
-					this.#turnAway('3005', `no engine could be reached: ${reason}`, rejectedRetry);
-				}
 			})
 			.with({kind: 'misdirected'}, () => {
-				this.#didNotRun();
+				this.#life.attemptDidNotRun();
 				this.#unsent += 1;
 				this.#excluded.add(engine.record.id);
 				engine.misdirected();
-				if (this.#unsent >= maximumUnsent) {
-					this.#turnAway('3005', 'engines are gone from their addresses', rejectedRetry);
-				}
 			})
 			.with({kind: 'rejected'}, ({faultyEngine}) => {
-				this.#didNotRun();
+				this.#life.attemptDidNotRun();
 				this.#sent += 1;
 				this.#excluded.add(engine.record.id);
 				engine.rejected(faultyEngine);
+			})
+			.with({kind: 'failure'}, () => {
+				this.#sent += 1;
+				this.#excluded.add(engine.record.id);
+			})
+			.with({kind: 'broken'}, () => {
+				this.#sent += 1;
+				if (!isRelieved) {
+					this.#avoid(engine);
+				}
+			})
+			.exhaustive();
+		if (outcome.kind !== 'complete') {
+			this.#options.log.info('request.attempt-failed', {
+				...this.#ids, engine: engine.record.id, outcome: outcome.kind, reason: 'reason' in outcome ? outcome.reason : undefined,
+				sent: this.#sent, open: this.#attempts.size, delivered: this.#lastEvent,
+			});
+		}
+	}
+
+	/** Goes on after the last open attempt: with another one, or with the end of the request. */
+	#proceed(outcome: AnswerOutcome): void {
+		match(outcome)
+			.with({kind: 'complete'}, ({status}) => {
+				this.#finish('answered', status);
+			})
+			.with({kind: 'unreachable'}, {kind: 'misdirected'}, end => {
+				if (this.#unsent >= maximumUnsent) {
+					this.#turnAway('3005', `no engine could be reached: ${end.kind === 'unreachable' ? end.reason : 'they are gone from their addresses'}`, rejectedRetry);
+				}
+			})
+			.with({kind: 'rejected'}, () => {
 				this.#repeatOr(() => {
-					this.#turnAway('3002', `engine "${engine.record.id}" did not take the request`, rejectedRetry);
+					this.#turnAway('3002', `engine "${this.#chosen?.record.id}" did not take the request`, rejectedRetry);
 				});
 			})
 			.with({kind: 'failure'}, ({deliver}) => {
-				this.#sent += 1;
-				this.#excluded.add(engine.record.id);
 				this.#repeatOr(() => {
 					this.#finish('engine-failure', deliver());
 				});
 			})
-			.with({kind: 'broken'}, {kind: 'stalled'}, ({kind, reason}) => {
-				this.#sent += 1;
-				this.#avoid(engine);
+			.with({kind: 'broken'}, ({reason}) => {
 				this.#repeatOr(() => {
-					this.#fail(kind === 'stalled' ? '4004' : '4003', reason);
+					this.#fail('4003', reason);
 				});
 			})
 			.exhaustive();
 	}
 
-	#didNotRun(): void {
-		this.#life.attemptDidNotRun();
-		this.#life.wait();
-	}
-
 	/** Lets the next attempt begin, or ends the request where none is allowed. */
 	#repeatOr(end: () => void): void {
 		const {budget, service, metrics} = this.#options;
 		if (this.#mayRepeat && budget.tryRepeat(service.name)) {
 			metrics.repeated(service.name);
-			this.#life.wait();
 			return;
 		}
 
@@ -302,7 +358,7 @@
 			return;
 		}
 
-		if (this.#current && !this.#current.maySend) {
+		if (this.#attempts.size > 0 && !this.#attempts.maySend) {
 			this.#life.attemptDidNotRun();
 		}
 
@@ -322,7 +378,7 @@
 		this.#life.end();
 		this.#over.abort();
 		clearTimeout(this.#timer);
-		this.#current?.abort();
+		this.#attempts.abort();
 		const {route, service, customer, log, metrics, arrivedAt, version, facts} = this.#options;
 		const now = performance.now();
 		const firstEvent = this.#firstEventAt === undefined ? undefined : this.#firstEventAt - arrivedAt;
