feat(peers): tell an instance that starts what the others have placed, and read the store's list where no seed answers

Cause: when all instances lose power and start again, those that come before the seeds knew of nobody for half a second to a second. An instance that becomes known was told only of placements made from then on.

Ruled out: the start itself (configuration and engines are known 20 ms after it); the common order (instances that know nobody use an order of their own).

Change: a peer that is new or has started anew is sent the placements of this instance, in datagrams of a hundred. Where no seed has answered after 100 ms, the addresses are read from the store at once, not after up to a second.

--- a/src/peers/__tests__/peer-news.test.ts
+++ b/src/peers/__tests__/peer-news.test.ts
@@ -67,6 +67,33 @@
 	t.is(other.book.size, 0);
 });
 
+test('an instance that starts is told what the others have placed before', async t => {
+	const [one, other] = [instance(22, 1), instance(22, 2)];
+	t.teardown(() => {
+		one.news.close();
+		other.news.close();
+	});
+	await one.news.start();
+	await other.news.start();
+	const count = 250;
+	for (let number = 1; number <= count; number++) {
+		one.book.place({
+			key: `instance-1~1/${number}`, gapTarget: 250, weight: 1, startsAt: performance.now(), expiresAt: performance.now() + 10_000,
+			parts: [{
+				engineId: 'e', reading: 500, memory: 100, writes: true,
+			}],
+		}, performance.now());
+	}
+
+	one.book.begin('instance-1~1/1', performance.now());
+
+	other.news.ask([one.ip]);
+	await until(() => other.book.size === count);
+
+	t.is(other.book.view('e', performance.now()).running, count);
+	t.deepEqual(other.book.allOf('instance-1~1/').began, ['instance-1~1/1']);
+});
+
 async function until(holds: () => boolean): Promise<void> {
 	for (let tries = 0; tries < 100 && !holds(); tries++) {
 		await sleep(20); // eslint-disable-line no-await-in-loop
--- a/src/peers/peer-news.ts
+++ b/src/peers/peer-news.ts
@@ -42,6 +42,9 @@
 /** Greatest size in bytes of rows in one message; larger changes are fetched. */
 const maximumDelta = 8192;
 
+/** Most placements in one message to a new peer; with their parts they stay well within a datagram. */
+const placementsPerIntroduction = 100;
+
 /** What the task works with. */
 export type PeerNewsOptions = {
 	ip: string;
@@ -268,6 +271,7 @@
 				ip, origin, heardAt: now, isSilent: false, follows, reachesStore,
 			});
 			this.#options.log.info('peer.known', {peer: ip, origin, peers: this.#peers.size});
+			this.#introduce(ip);
 			return;
 		}
 
@@ -275,6 +279,7 @@
 			this.#options.book.endAllOf(`${peer.origin}/`, now);
 			this.#options.log.info('peer.restarted', {peer: ip, origin, before: peer.origin});
 			peer.origin = origin;
+			this.#introduce(ip);
 		}
 
 		if (peer.isSilent) {
@@ -287,6 +292,16 @@
 		peer.reachesStore = reachesStore;
 	}
 
+	/** Tells a peer that knows nothing yet what this instance has placed. */
+	#introduce(ip: string): void {
+		const {placed, began} = this.#options.book.allOf(`${this.#options.origin}/`);
+		for (let from = 0; from < placed.length; from += placementsPerIntroduction) {
+			const part = placed.slice(from, from + placementsPerIntroduction);
+			const keys = new Set(part.map(({key}) => key));
+			this.#sendTo([ip], {placed: part, began: began.filter(key => keys.has(key))});
+		}
+	}
+
 	#take({placed, began, ended, avoided, paced}: News, now: number): void {
 		const {book, reputation} = this.#options;
 		for (const placement of placed) {
--- a/src/placement/load-book.ts
+++ b/src/placement/load-book.ts
@@ -94,6 +94,10 @@
 		}
 	}
 
+	hasBegun(key: string): boolean {
+		return this.#entries.get(key)?.begun ?? false;
+	}
+
 	end(key: string, now: number): void {
 		const entry = this.#entries.get(key);
 		if (entry) {
@@ -190,6 +194,13 @@
 		this.#placements.delete(key);
 	}
 
+	/** Placements of an instance, whose keys begin with its name, and those of them whose first event has come. */
+	allOf(keyPrefix: string): {placed: Placement[]; began: string[]} {
+		const placed = [...this.#placements.values()].filter(({key}) => key.startsWith(keyPrefix));
+		const began = placed.filter(({key, parts}) => parts.some(({engineId}) => this.#engines.get(engineId)?.hasBegun(key))).map(({key}) => key);
+		return {placed, began};
+	}
+
 	/** Ends all requests of an instance, whose keys begin with its name. */
 	endAllOf(keyPrefix: string, now: number): void {
 		for (const key of this.#placements.keys()) {
--- a/src/serving/serving-instance.ts
+++ b/src/serving/serving-instance.ts
@@ -83,7 +83,10 @@
 const idleCheck = 50;
 const joinRetry = 1000;
 
-/** Time in milliseconds in which seeds answer; writes of many instances spread over as long. */
+/** Time in milliseconds in which a seed answers: a few times the way across failure domains, for processes that have just started. */
+const seedAnswer = 100;
+
+/** Time in milliseconds over which writes of many instances spread. */
 const joinDelay = 500;
 
 /** One running instance. */
@@ -227,17 +230,17 @@
 		}
 	}
 
-	/** Writes this instance's address to the store, for others that find no seed, and reads theirs if it found none. */
+	/** Reads the addresses of the others where no seed has answered, then writes this instance's own for those that start later. */
 	async #join(): Promise<void> {
-		await delay(joinDelay * (1 + Math.random()));
 		const {store, tables: {instances}, instance, ip, log} = this.#options;
+		await delay(seedAnswer);
+		const read = this.#peers.size === 0 ? await this.#readInstances() : 0;
+		await delay(joinDelay * Math.random());
 		while (!this.#isJoined && this.#state === 'serving') {
 			try {
 				await store.write(instances.table, instance, ip); // eslint-disable-line no-await-in-loop
 				this.#isJoined = true;
-				const {rows} = this.#peers.size > 0 ? {rows: []} : await store.read(instances.table); // eslint-disable-line no-await-in-loop
-				this.#peers.ask(rows.flatMap(({value}) => value === undefined ? [] : [instances.decode(value)]));
-				log.info('instance.joined', {peers: this.#peers.size, read: rows.length});
+				log.info('instance.joined', {peers: this.#peers.size, read: read + (this.#peers.size === 0 ? await this.#readInstances() : 0)}); // eslint-disable-line no-await-in-loop
 			} catch (error) {
 				log.warn('instance.join-failed', {reason: errorMessage(error)});
 				await delay(joinRetry * (0.5 + Math.random())); // eslint-disable-line no-await-in-loop
@@ -245,6 +248,19 @@
 		}
 	}
 
+	/** Asks all instances that the store names. @returns their number. */
+	async #readInstances(): Promise<number> {
+		const {store, tables: {instances}, log} = this.#options;
+		try {
+			const {rows} = await store.read(instances.table);
+			this.#peers.ask(rows.flatMap(({value}) => value === undefined ? [] : [instances.decode(value)]));
+			return rows.length;
+		} catch (error) {
+			log.warn('instance.list-failed', {reason: errorMessage(error)});
+			return 0;
+		}
+	}
+
 	#table(number: TableNumber, table: string, listener: TableListener, identify: (key: string, value: string) => string): SpreadTable {
 		const copy = new TableCopy({
 			listener, identify,
