--- a/src/placement/prompt-placement.ts
+++ b/src/placement/prompt-placement.ts
@@ -129,11 +129,8 @@
  */
 const shedLimits: Readonly<Record<PromptStanding, number>> = {fresh: 0.8, returning: 2, begun: Number.POSITIVE_INFINITY};
 
-/**
- * Least Retry-After of such a prompt, as a factor on its target: a burst is over by then, or the caller's third of its time.
- * One that has come back before asks again sooner.
- */
-const shedRetries: Readonly<Record<PromptStanding, number>> = {fresh: 10, returning: 4, begun: 1};
+/** Least Retry-After of such a prompt, as a factor on its target: a burst is over by then, or the caller's third of its time. */
+const shedRetry = 10;
 
 /** Least Retry-After in milliseconds; work placed meanwhile is known by then. */
 const shortestRetry = 100;
@@ -172,7 +169,7 @@
 	}
 
 	if (best.expected > shedLimits[terms.standing] * terms.target) {
-		return {kind: 'refuse', reason: 'overloaded', retryAfter: retryAfter(terms, Math.max(best.expected, shedRetries[terms.standing] * terms.target))};
+		return {kind: 'refuse', reason: 'overloaded', retryAfter: retryAfter(terms, Math.max(best.expected, shedRetry * terms.target))};
 	}
 
 	return best;
