--- a/src/claim/claim.ts
+++ b/src/claim/claim.ts
@@ -9,9 +9,6 @@
 import {match} from 'ts-pattern';
 import {z} from 'zod';
 
-/** States of a claim; only `claimed` and an ending that says "not run" can pass to another claimer. */
-export type ClaimState = 'claimed' | 'sent' | 'ended';
-
 const answerShape = z.discriminatedUnion('place', [
 	z.object({place: z.literal('inline'), text: z.string()}),
 	z.object({place: z.literal('objects'), key: z.string()}),
--- a/src/ledger/ledger-task.ts
+++ b/src/ledger/ledger-task.ts
@@ -12,14 +12,12 @@
 import type {RequestTerms} from '../request/life.js';
 import type {EventLog} from '../telemetry/log.js';
 import type {ObservedEnding, RequestObserver} from './observer.js';
-import {PendingRecords, type NumberedRecord} from './pending-records.js';
+import {PendingRecords} from './pending-records.js';
 import type {RequestPromise, RequestRecord} from './record.js';
 import {
 	dayOf, firstPosition, positionAfter, sealSegment, type ChainPosition, type Segment,
 } from './segment.js';
 import {SegmentStore} from './segment-store.js';
-import {TailSender} from './tail-sender.js';
-import type {TailKeeper} from './tail.js';
 
 /** Time in milliseconds between two attempts to write the last segment at shutdown. */
 const closeRetryInterval = 250;
@@ -36,16 +34,6 @@
 	batchTime: number;
 	/** Greatest number of records held while the object store takes none. */
 	buffer: number;
-	/**
-	 * Holds the unwritten tail elsewhere.
-	 * @default undefined: a dying instance loses what it has not written
-	 */
-	tailKeeper?: TailKeeper;
-	/**
-	 * Time in milliseconds between two messages to the keeper.
-	 * @default 50
-	 */
-	tailInterval?: number;
 };
 
 type OpenPromise = {
@@ -54,19 +42,16 @@
 	toldAt: number;
 	toldAtMonotonic: number;
 };
-type SealedBatch = {segment: Segment; numbered: readonly NumberedRecord[]};
 
 /** Writes the ledger of one incarnation. */
 export class LedgerTask implements RequestObserver {
 	readonly #options: LedgerTaskOptions;
 	readonly #segments: SegmentStore;
 	readonly #pending: PendingRecords;
-	readonly #tail: TailSender | undefined;
 	readonly #open = new Map<string, OpenPromise>();
 	#position: ChainPosition;
-	#sealed: SealedBatch | undefined;
+	#sealed: Segment | undefined;
 	#writing: Promise<void> | undefined;
-	#writtenThrough = 0;
 	#chains = 1;
 	#overflowing = false;
 	/** Whether the last segment was not taken; the next attempt then waits for the timer. */
@@ -82,9 +67,6 @@
 		this.#segments = new SegmentStore(options.objects);
 		this.#pending = new PendingRecords(options.buffer);
 		this.#position = firstPosition(options.instance, options.incarnation);
-		this.#tail = options.tailKeeper && new TailSender({
-			keeper: options.tailKeeper, interval: options.tailInterval, log: options.log, current: () => this.#currentTail(),
-		});
 	}
 
 	/** Begins to write from time to time. */
@@ -93,13 +75,11 @@
 			this.#isDue = true;
 			this.#startWriting();
 		}, this.#options.batchTime);
-		this.#tail?.start();
 	}
 
-	/** Stops at once; what is not written is left to the keeper of the tail. */
+	/** Stops at once; what is not written is lost. */
 	stop(): void {
 		clearInterval(this.#timer);
-		this.#tail?.stop();
 	}
 
 	admitted(terms: RequestTerms, deferred: boolean, admittedAt = Date.now()): void {
@@ -151,13 +131,12 @@
 		for (;;) {
 			await this.#writing; // eslint-disable-line no-await-in-loop
 			if (await this.#writeAll()) { // eslint-disable-line no-await-in-loop
-				await this.#tail?.close(); // eslint-disable-line no-await-in-loop
 				return true;
 			}
 
 			if (performance.now() + closeRetryInterval > giveUpAt) {
 				this.stop();
-				this.#options.log.error('ledger.not-closed', {records: this.#pending.size + (this.#sealed?.segment.records.length ?? 0)});
+				this.#options.log.error('ledger.not-closed', {records: this.#pending.size + (this.#sealed?.records.length ?? 0)});
 				return false;
 			}
 
@@ -199,7 +178,7 @@
 			return true;
 		} catch (error) {
 			this.#options.log.warn('ledger.segment-not-written', {
-				key: this.#sealed?.segment.key, waiting: this.#pending.size, reason: errorMessage(error),
+				key: this.#sealed?.key, waiting: this.#pending.size, reason: errorMessage(error),
 			});
 			return false;
 		}
@@ -215,42 +194,32 @@
 		return this.#pending.size >= this.#options.batchSize || (this.#isDue && (this.#pending.size > 0 || isNewDay));
 	}
 
-	#seal(): SealedBatch {
-		const {records, numbered} = this.#pending.take(this.#options.batchSize);
+	#seal(): Segment {
+		const records = this.#pending.take(this.#options.batchSize);
 		this.#isDue &&= this.#pending.size > 0;
 		const closes = this.#closing && this.#pending.size === 0;
-		return {segment: sealSegment(this.#position, records, closes ? this.#options.instance : undefined), numbered};
+		return sealSegment(this.#position, records, closes ? this.#options.instance : undefined);
 	}
 
-	async #writeSealed({segment, numbered}: SealedBatch): Promise<void> {
+	async #writeSealed(segment: Segment): Promise<void> {
 		const put = await this.#segments.put(segment);
-		if (put.state === 'present') {
-			this.#beginNewChain({segment, numbered});
+		if (put === 'present') {
+			this.#beginNewChain(segment);
 			return;
 		}
 
 		this.#sealed = undefined;
 		this.#closed = segment.closedBy !== undefined;
 		this.#position = positionAfter(segment);
-		this.#writtenThrough = numbered.at(-1)?.number ?? this.#writtenThrough;
 		this.#options.log.debug('ledger.segment-written', {key: segment.key, records: segment.records.length});
 	}
 
-	/** A peer that took this instance for dead has closed its chain: what it may lack goes to a chain of its own. */
-	#beginNewChain({segment, numbered}: SealedBatch): void {
+	/** Another writer has taken this place of the chain: what follows goes to a chain of its own. */
+	#beginNewChain({key, records, closedBy}: Segment): void {
 		const {instance, incarnation, log} = this.#options;
 		this.#chains += 1;
 		this.#position = firstPosition(instance, `${incarnation}.${this.#chains}`);
-		this.#sealed = {segment: sealSegment(this.#position, segment.records, segment.closedBy), numbered};
-		log.warn('ledger.chain-superseded', {key: segment.key, chain: this.#position.incarnation});
-	}
-
-	#currentTail() {
-		return {
-			incarnation: this.#options.incarnation,
-			position: this.#sealed?.segment.position ?? this.#position,
-			writtenThrough: this.#writtenThrough,
-			records: [...this.#sealed?.numbered ?? [], ...this.#pending.values()],
-		};
+		this.#sealed = sealSegment(this.#position, records, closedBy);
+		log.warn('ledger.chain-superseded', {key, chain: this.#position.incarnation});
 	}
 }
--- a/src/ledger/pending-records.ts
+++ b/src/ledger/pending-records.ts
@@ -5,21 +5,10 @@
  */
 import type {GapRecord, LedgerRecord, RequestRecord} from './record.js';
 
-/** A record with its number, which rises from 1 within an incarnation. */
-export type NumberedRecord = {number: number; record: RequestRecord};
-
-/** Records taken out to be written. */
-export type TakenRecords = {
-	records: LedgerRecord[];
-	/** Those of them that have numbers. */
-	numbered: NumberedRecord[];
-};
-
 /** Records by request; an ending replaces the admission that still waits. */
 export class PendingRecords {
 	readonly #limit: number;
-	readonly #records = new Map<string, NumberedRecord>();
-	#lastNumber = 0;
+	readonly #records = new Map<string, RequestRecord>();
 	#gap: GapRecord | undefined;
 
 	/** @param limit - Greatest number of records held. */
@@ -44,28 +33,22 @@
 			return false;
 		}
 
-		// An ending goes behind the records that came before it, so that numbers rise in the order of writing.
+		// An ending goes behind the records that came before it, so that segments hold them in their order.
 		this.#records.delete(requestId);
-		this.#lastNumber += 1;
-		this.#records.set(requestId, {number: this.#lastNumber, record});
+		this.#records.set(requestId, record);
 		return true;
 	}
 
 	/** Takes out the oldest records, the gap record first where records were lost. */
-	take(count: number): TakenRecords {
+	take(count: number): LedgerRecord[] {
 		const gap = this.#gap === undefined ? [] : [this.#gap];
 		this.#gap = undefined;
-		const numbered = [...this.#records.values()].slice(0, count);
-		for (const {record} of numbered) {
-			this.#records.delete(record.promise.requestId);
+		const records = [...this.#records.values()].slice(0, count);
+		for (const {promise} of records) {
+			this.#records.delete(promise.requestId);
 		}
 
-		return {records: [...gap, ...numbered.map(({record}) => record)], numbered};
-	}
-
-	/** Records held, oldest first. */
-	values(): IterableIterator<NumberedRecord> {
-		return this.#records.values();
+		return [...gap, ...records];
 	}
 
 	#countLost(): void {
--- a/src/ledger/segment-store.ts
+++ b/src/ledger/segment-store.ts
@@ -8,7 +8,7 @@
 import type {Segment} from './segment.js';
 
 /** How a put ended: `present` means that another segment holds the key. */
-export type SegmentPut = {state: 'written'} | {state: 'present'; bytes: Uint8Array};
+export type SegmentPut = 'written' | 'present';
 
 /** Writes segments and never over another. */
 export class SegmentStore {
@@ -25,10 +25,10 @@
 	 */
 	async put({key, bytes}: Segment): Promise<SegmentPut> {
 		if (await this.#objects.put(key, bytes, {onlyIfAbsent: true})) {
-			return {state: 'written'};
+			return 'written';
 		}
 
 		const present = await this.#objects.get(key) ?? new Uint8Array();
-		return Buffer.compare(present, bytes) === 0 ? {state: 'written'} : {state: 'present', bytes: present};
+		return Buffer.compare(present, bytes) === 0 ? 'written' : 'present';
 	}
 }
--- a/src/placement/engine-reputation.ts
+++ b/src/placement/engine-reputation.ts
@@ -22,9 +22,6 @@
 /** Share of a new observation in the pace. */
 const paceWeight = 0.5;
 
-/** Factor on the published times under which an engine counts as slow. */
-export const slowPace = 1.8;
-
 type Record = {
 	avoidUntil: number;
 	avoidance: number;
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -116,7 +116,7 @@
 	},
 	ledger: {
 		batch_size: setting(wholeNumber(1, 10_000), {defaultText: '500', example: '500', description: 'Records of promises that make one segment of the ledger full.'}),
-		batch_time: setting(duration, {defaultText: '1 s', example: '1 s', description: 'Longest time that a record waits for its segment to fill; also what a dying instance can lose of the ledger where no peer holds its tail.'}),
+		batch_time: setting(duration, {defaultText: '1 s', example: '1 s', description: 'Longest time that a record waits for its segment to fill; also what a dying instance can lose of the ledger.'}),
 		buffer: setting(wholeNumber(1, 1_000_000), {defaultText: '50000', example: '50000', description: 'Most records held while the object store takes none; more are counted as lost.'}),
 	},
 	log: {
