feat(check): check the platform's settings file offline

Cause: an operator learned of a wrong field in the platform's settings only when an instance did not start. Ruled out: a second reader; the command reads the file as an instance does, so that both agree.

--- a/src/cli.ts
+++ b/src/cli.ts
@@ -73,9 +73,10 @@
 		await get(options);
 	});
 
-examples(program.command('check'), 'check --settings entry.ini', 'check --configuration pools.ini --json')
+examples(program.command('check'), 'check --settings entry.ini', 'check --platform-settings local.json', 'check --configuration pools.ini --json')
 	.description('check settings and configuration without an instance')
 	.option('--settings <file>', 'settings file')
+	.option('--platform-settings <file>', 'settings file of an instance on the platform')
 	.option('--configuration <file>', 'configuration document')
 	.option('--json', 'print JSON for scripts')
 	.action(async (options: CheckOptions) => {
