fix(entry): close connections that stall in the middle of a header

Cause: 300 connections that stalled in a header were all still open after 20 s on the callers' port: the runtime's limit for headers was cut off together with the one for whole requests. Ruled out: slow bodies, which may take as long as a prompt needs and still do. Change: a header must be whole within 10 s; the port looks twice a second. Measured: the test of 300 stalled connections waits for ever without the change and passes with it, another caller being served meanwhile.

--- a/src/entry/listener.ts
+++ b/src/entry/listener.ts
@@ -13,12 +13,26 @@
 	return environment.incoming instanceof IncomingMessage;
 }
 
+/** Time limits of a port. */
+export type HttpListenerOptions = {
+	/**
+	 * Longest time in milliseconds in which a request's header must be whole.
+	 * @default 10_000
+	 */
+	headerTimeout?: number;
+	/**
+	 * Time in milliseconds between two looks for headers that are late.
+	 * @default 500
+	 */
+	headerCheckInterval?: number;
+};
+
 /** A port that is being served. */
 export class HttpListener {
 	readonly #server: Server;
 
 	/** @param fetch - Handler of a hono application. */
-	constructor(fetch: HttpFetch) {
+	constructor(fetch: HttpFetch, {headerTimeout = defaultHeaderTimeout, headerCheckInterval = defaultHeaderCheckInterval}: HttpListenerOptions = {}) {
 		// Hono's stand-ins for Request and Response are for its own use alone.
 		const listener = getRequestListener(async (request, environment) => {
 			if (!isFirstVersion(environment)) {
@@ -27,11 +41,10 @@
 
 			return fetch(request, environment);
 		}, {overrideGlobalObjects: false});
-		this.#server = createServer((incoming, outgoing) => {
+		this.#server = createServer({headersTimeout: headerTimeout, connectionsCheckingInterval: headerCheckInterval, requestTimeout: 0}, (incoming, outgoing) => {
 			void listener(incoming, outgoing);
 		});
 		this.#server.keepAliveTimeout = keepAliveTimeout;
-		this.#server.requestTimeout = 0;
 	}
 
 	/** @returns the address served, as "IP:port". */
@@ -62,6 +75,12 @@
 	}
 }
 
+/** Time in milliseconds in which a header of a few KiB arrives over any link that could carry a prompt. */
+const defaultHeaderTimeout = 10_000;
+
+/** Time in milliseconds; a stalled header is closed this much after its limit at most. */
+const defaultHeaderCheckInterval = 500;
+
 /** Time in milliseconds that an idle connection of a caller is kept. */
 const keepAliveTimeout = 65_000;
 
