refactor(request): one listener of the directory, one timer that ends faults

Change: `DirectoryNews` and `ClearTimer`, each used in both places. Conclusion: no behaviour changes.

--- a/src/entry/instance.ts
+++ b/src/entry/instance.ts
@@ -18,6 +18,7 @@
 import type {Platform} from '../platform/platform.js';
 import {SettledWriter} from '../platform/settled-write.js';
 import {FleetPart} from '../fleet/fleet-part.js';
+import {DirectoryNews} from '../request/directory-news.js';
 import {Dispatcher} from '../request/dispatcher.js';
 import {ListedOwners} from '../request/listed-owners.js';
 import {OrphanReaper} from '../request/orphan-reaper.js';
@@ -237,7 +238,6 @@
 	}
 
 	#createDirectory(platform: Platform, connector: UpstreamConnector): UpstreamDirectory {
-		const router = this.#router;
 		return new UpstreamDirectory({
 			instances: platform.instances,
 			connector,
@@ -245,21 +245,7 @@
 			listInterval: this.#settings.upstreams.listInterval,
 			loadInterval: this.#settings.upstreams.loadInterval,
 			sharing: this.#fleet?.sharing,
-			listener: {
-				upstreamsChanged(upstreams, now) {
-					router.setUpstreams(upstreams, now);
-				},
-				observe: observation => {
-					this.#dispatcher.observe(observation);
-				},
-				listed: (snapshot, now) => {
-					this.#owners.observe(snapshot, now);
-				},
-				lastCacheSequence: upstream => router.lastCacheSequence(upstream),
-				get toResync() {
-					return router.toResync;
-				},
-			},
+			listener: new DirectoryNews({router: this.#router, dispatcher: () => this.#dispatcher, owners: this.#owners}),
 		});
 	}
 
--- a/src/scenario/entry-process.ts
+++ b/src/scenario/entry-process.ts
@@ -11,6 +11,7 @@
 import {RequestGate} from '../entry/request-gate.js';
 import {GroupCommit} from '../platform/group-commit.js';
 import {SettledWriter} from '../platform/settled-write.js';
+import {DirectoryNews} from '../request/directory-news.js';
 import {Dispatcher} from '../request/dispatcher.js';
 import {ListedOwners} from '../request/listed-owners.js';
 import {OrphanReaper} from '../request/orphan-reaper.js';
@@ -101,7 +102,6 @@
 	}
 
 	#createDirectory(outside: OutsideSystems, instances: ReturnType<typeof guardList>, log: EventLog): UpstreamDirectory {
-		const router = this.#router;
 		return new UpstreamDirectory({
 			instances,
 			log,
@@ -111,21 +111,7 @@
 				engine: ({name}) => guardEngine(outside.engine(name), this.boundary),
 				service: ({name}) => guardService(outside.service(name), this.boundary),
 			},
-			listener: {
-				upstreamsChanged(upstreams, now) {
-					router.setUpstreams(upstreams, now);
-				},
-				observe: observation => {
-					this.#dispatcher.observe(observation);
-				},
-				listed: (snapshot, now) => {
-					this.#owners.observe(snapshot, now);
-				},
-				lastCacheSequence: upstream => router.lastCacheSequence(upstream),
-				get toResync() {
-					return router.toResync;
-				},
-			},
+			listener: new DirectoryNews({router: this.#router, dispatcher: () => this.#dispatcher, owners: this.#owners}),
 		});
 	}
 }
--- a/src/stand-in/faults.ts
+++ b/src/stand-in/faults.ts
@@ -5,6 +5,7 @@
  */
 import {performance} from 'node:perf_hooks';
 import {z} from 'zod';
+import {ClearTimer} from './clear-timer.js';
 
 /** Whether a stand-in takes requests: not at all on the socket, or with status 503 on each. */
 export type Availability = 'up' | 'refusing' | 'unavailable';
@@ -75,7 +76,7 @@
 export class Faults {
 	#settings: FaultSettings = {...noFaults};
 	#frozenUntil = 0;
-	#reset: NodeJS.Timeout | undefined;
+	readonly #reset = new ClearTimer();
 	#allowance = 0;
 	#allowanceAt = performance.now();
 	readonly #listeners = new Set<(signal: FaultSignal) => void>();
@@ -114,18 +115,14 @@
 			this.#signal('cut');
 		}
 
-		if (duration !== undefined) {
-			clearTimeout(this.#reset);
-			this.#reset = setTimeout(() => {
-				this.clear();
-			}, duration);
-			this.#reset.unref();
-		}
+		this.#reset.start(duration, () => {
+			this.clear();
+		});
 	}
 
 	/** Ends all faults; connections that went silent stay so. */
 	clear(): void {
-		clearTimeout(this.#reset);
+		this.#reset.cancel();
 		this.#frozenUntil = 0;
 		this.#change({...noFaults});
 	}
--- a/src/stand-in/platform/fault-order.ts
+++ b/src/stand-in/platform/fault-order.ts
@@ -6,6 +6,7 @@
 import {performance} from 'node:perf_hooks';
 import {z} from 'zod';
 import {type FaultSettings, type PlatformFaults} from '../../platform/memory/faults.js';
+import {ClearTimer} from '../clear-timer.js';
 import {type Faults} from '../faults.js';
 
 const milliseconds = z.number().nonnegative();
@@ -52,7 +53,7 @@
 export class StandInFaults {
 	readonly #connections: Faults;
 	readonly #calls: PlatformFaults;
-	#reset: NodeJS.Timeout | undefined;
+	readonly #reset = new ClearTimer();
 
 	constructor(connections: Faults, calls: PlatformFaults) {
 		this.#connections = connections;
@@ -67,18 +68,14 @@
 			frozenUntil: freeze === undefined ? undefined : performance.now() + freeze,
 		}));
 		this.#connections.apply(named({availability, silence, cut}));
-		if (duration !== undefined) {
-			clearTimeout(this.#reset);
-			this.#reset = setTimeout(() => {
-				this.clear();
-			}, duration);
-			this.#reset.unref();
-		}
+		this.#reset.start(duration, () => {
+			this.clear();
+		});
 	}
 
 	/** Ends all faults; connections that went silent stay so. */
 	clear(): void {
-		clearTimeout(this.#reset);
+		this.#reset.cancel();
 		this.#calls.clear();
 		this.#connections.clear();
 	}
