fix(serving): keep the request where choosing an engine beside a silent one fails

Cause: an error while another engine is chosen or asked beside a silent one was caught by nobody and would have ended the process with all its requests. Ruled out: the first attempt, whose errors end only their request. Change: the error is logged with the request's id and the silent engine is kept. Measured: the new case of the test leaves an unhandled rejection and a cut answer before, and passes after.

--- a/src/serving/__tests__/silent-engine.test.ts
+++ b/src/serving/__tests__/silent-engine.test.ts
@@ -142,23 +142,35 @@
 	};
 }
 
-test('a silent engine is kept where no other one takes the request', async t => {
-	const engine = new ScriptedEngine('first', silence, ({emit}) => {
-		emit.call(engine, 0, 1);
-	});
+const withoutRelief: Array<{name: string; choose: () => Choice}> = [
+	{name: 'no other one takes the request', choose: () => refusal},
+	{
+		name: 'choosing another one fails',
+		choose() {
+			throw new Error('no choice');
+		},
+	},
+];
 
-	const got = await serve(t, engine, async choices => {
-		if (choices === 3) {
-			engine.emit(2);
-			engine.end();
-		}
+for (const {name, choose} of withoutRelief) {
+	test(`a silent engine is kept where ${name}`, async t => {
+		const engine = new ScriptedEngine('first', silence, ({emit}) => {
+			emit.call(engine, 0, 1);
+		});
 
-		return refusal;
-	});
+		const got = await serve(t, engine, async choices => {
+			if (choices === 3) {
+				engine.emit(2);
+				engine.end();
+			}
 
-	t.deepEqual(got, {isWhole: true, ids: [0, 1, 2]});
-	t.is(engine.failures, 0);
-});
+			return choose();
+		});
+
+		t.deepEqual(got, {isWhole: true, ids: [0, 1, 2]});
+		t.is(engine.failures, 0);
+	});
+}
 
 const endings: Array<{name: string; second: (second: ScriptedEngine, first: ScriptedEngine) => void; firstIsClosed: boolean}> = [
 	{
--- a/src/serving/forwarded-request.ts
+++ b/src/serving/forwarded-request.ts
@@ -6,6 +6,7 @@
 import {performance} from 'node:perf_hooks';
 import {match} from 'ts-pattern';
 import type {ErrorCode} from '../errors/catalogue.js';
+import {errorMessage} from '../errors/errors.js';
 import {RequestLife} from '../request/life.js';
 import {delay} from '../request/time-limit.js';
 import type {EventLog, LogFields} from '../telemetry/log.js';
@@ -84,19 +85,18 @@
 		});
 		this.#lastEvent = facts.lastEvent;
 		this.#attempts = new OpenAttempts({
-			start: (engine, listener) => this.#send(engine, listener),
+			start: this.#send.bind(this),
 			mayRelieve: () => this.#isRepeatable && this.#mayRepeat && this.#unsent < maximumUnsent && options.budget.hasRepeat(options.service.name),
 			chooseRelief: async () => {
 				const choice = await this.#choose();
 				return choice?.kind === 'chosen' ? choice.engine : undefined;
 			},
-			takeRelief: (silent, limit, relief) => this.#takeRelief(silent, limit, relief),
-			delivered: (event, gap, engine) => {
-				this.#delivered(event, gap, engine);
-			},
-			closed: (attempt, outcome) => {
-				this.#record(attempt, outcome);
+			takeRelief: this.#takeRelief.bind(this),
+			reliefFailed: error => {
+				options.log.error('request.relief-failed', {...this.#ids, reason: errorMessage(error)});
 			},
+			delivered: this.#delivered.bind(this),
+			closed: this.#record.bind(this),
 		});
 	}
 
--- a/src/serving/open-attempts.ts
+++ b/src/serving/open-attempts.ts
@@ -28,6 +28,8 @@
 	chooseRelief(): Promise<ChosenEngine | undefined>;
 	/** Counts the engine that is asked beside a silent one. @returns false where the request may not be repeated. */
 	takeRelief(silent: OpenAttempt, limit: number, relief: ChosenEngine): boolean;
+	/** Choosing or asking another engine failed; the silent one is kept. */
+	reliefFailed(error: unknown): void;
 	/** An event went to the caller. */
 	delivered(event: number | undefined, gap: number, engine: ChosenEngine): void;
 	/** An attempt has ended. */
@@ -105,13 +107,19 @@
 		}
 
 		const eventsBefore = this.#events;
+		let relief: ChosenEngine | undefined;
 		this.#isRelieving = true;
-		const relief = await this.#owner.chooseRelief();
-		this.#isRelieving = false;
-		if (relief && !this.#isOver && this.#events === eventsBefore && this.#owner.takeRelief(silent, limit, relief)) {
-			silent.isRelieved = true;
-			this.#start(relief);
-			return;
+		try {
+			relief = await this.#owner.chooseRelief();
+			if (relief && !this.#isOver && this.#events === eventsBefore && this.#owner.takeRelief(silent, limit, relief)) {
+				this.#start(relief);
+				silent.isRelieved = true;
+				return;
+			}
+		} catch (error) {
+			this.#owner.reliefFailed(error);
+		} finally {
+			this.#isRelieving = false;
 		}
 
 		relief?.release();
