feat(placement): subsets of engines for each instance, and failure detection by ring successors

Cause: on the large deployment each placement and its end went to all 194 other instances with the state of the tables, 51,000 datagrams a second in the fleet, and heartbeats went round all peers, so that a dead instance counted as silent after 66 s at 195 instances.

Change: instances and engines lie on a ring; an instance places prompts on the 32 engines around it (more in small fleets, until 24 instances share each engine), and only the instances that use an engine hear of its placements. Reports of placements no longer carry the state of the tables. Heartbeats go to four successors, which report a silent one to all. A request without a prompt is told to nobody in fleets of more than 32.

The store's tables are polled by the watchers in turn: 100 ms after changes for each watcher, 500 ms at most, where each waited 150 ms.

--- a/src/peers/__tests__/peer-datagram.test.ts
+++ b/src/peers/__tests__/peer-datagram.test.ts
@@ -23,6 +23,7 @@
 	avoidedEngines: [{engineId: 'i-2', duration: 1000}],
 	engineSlowdowns: [{engineId: 'i-3', slowdown: 2.5}],
 	peers: ['10.0.0.1'],
+	silentPeers: [{ip: '10.0.0.2', origin: 'front-2~k1'}],
 };
 
 test('a datagram is decoded as it was encoded', t => {
@@ -38,8 +39,8 @@
 	{name: 'no bytes', bytes: new Uint8Array(0)},
 	{name: 'other bytes', bytes: new TextEncoder().encode('hello there')},
 	{name: 'another version', bytes: new Encoder().encode([99, 'front-1'])},
-	{name: 'a missing list', bytes: new Encoder().encode([1, 'front-1', [true, true, true, [[1, 1], [1, 1]], []], 0, 5])},
-	{name: 'the digest of one table only', bytes: new Encoder().encode([1, 'front-1', [true, true, true, [[1, 1]], []], 0, [], [], [], [], [], []])},
+	{name: 'a missing list', bytes: new Encoder().encode([2, 'front-1', [true, true, true, [[1, 1], [1, 1]], []], 0, 5])},
+	{name: 'the digest of one table only', bytes: new Encoder().encode([2, 'front-1', [true, true, true, [[1, 1]], []], 0, [], [], [], [], [], [], []])},
 ];
 
 for (const {name, bytes} of malformed) {
@@ -48,6 +49,28 @@
 	});
 }
 
+test('a delta with an unreadable row is left out, the rest of the datagram holds', t => {
+	const [delta] = datagram.replication!.deltas;
+	const encoder = new Encoder({useRecords: false});
+	const fields: unknown = encoder.decode(encodeDatagram(datagram, 1000));
+	const damaged = [true, false, true, [[7, 123], [9, 4_000_000_000]], [[1, delta!.baseChecksum, [9, 4_000_000_000], [['i-1', 17]]]]];
+	const decoded = decodeDatagram(encoder.encode(Object.assign([], fields, {2: damaged})), 1000);
+	t.deepEqual(decoded.replication?.deltas, []);
+	t.deepEqual({...decoded, replication: undefined}, {...datagram, replication: undefined});
+});
+
+test('a row with an empty value is decoded', t => {
+	const [delta] = datagram.replication!.deltas;
+	const rows = [{key: 'i-1', value: '', removed: false}];
+	const withEmptyRow = {...datagram, replication: {...datagram.replication!, deltas: [{...delta!, rows}]}};
+	t.deepEqual(decodeDatagram(encodeDatagram(withEmptyRow, 1000), 1000).replication?.deltas[0]?.rows, rows);
+});
+
+test('the error of a datagram names the field and the value', t => {
+	const bytes = new Encoder({useRecords: false}).encode([2, 'front-1', null, 0, [], [], [], [['i-2', 'soon']], [], [], []]);
+	t.throws(() => decodeDatagram(bytes, 0), {message: /duration to avoid an engine: expected a finite number, got string "soon"/v});
+});
+
 test('an instance fetches a complete table from another instance', async t => {
 	const snapshot: TableSnapshot = {
 		digest: {version: 12, checksum: 99}, rows: Array.from({length: 2000}, (_, index) => ({key: `route-${index}`, value: 'v'.repeat(100), removed: false})),
--- a/src/peers/__tests__/peer-messenger.test.ts
+++ b/src/peers/__tests__/peer-messenger.test.ts
@@ -11,7 +11,8 @@
 function createInstance(subnet: number, number: number) {
 	const loadTracker = new LoadTracker();
 	const ip = `127.${subnet}.0.${number}`;
-	const messenger = new PeerMessenger({
+	const messenger: PeerMessenger = new PeerMessenger({
+		subscribersOf: () => messenger.alivePeers.map(peer => peer.ip),
 		ip, port, origin: `instance-${number}~1`, loadTracker, engineHealth: new EngineHealth(), log: new EventLog({write: () => undefined}),
 		replicationStatus: () => ({
 			isStoreWatcher: true, canReachStore: true, isRecoveringFromOutage: false, digests: [{version: 0, checksum: 0}, {version: 0, checksum: 0}],
@@ -58,7 +59,7 @@
 		assignments: [{
 			engineId: 'e', prefillTime: 500, kvCacheTokens: 100, runsDecode: true,
 		}],
-	});
+	}, [other.ip]);
 	await until(() => other.loadTracker.size === 1);
 	t.is(other.loadTracker.snapshot('e', performance.now()).running, 1);
 
@@ -94,6 +95,16 @@
 	t.deepEqual(other.loadTracker.placementsOf('instance-1~1/').prefilledKeys, ['instance-1~1/1']);
 });
 
+test('a messenger whose address is taken fails to start', async t => {
+	const [one, other] = [createInstance(23, 1), createInstance(23, 1)];
+	t.teardown(() => {
+		one.messenger.close();
+		other.messenger.close();
+	});
+	await one.messenger.start();
+	await t.throwsAsync(other.messenger.start(), {code: 'EADDRINUSE'});
+});
+
 async function until(condition: () => boolean): Promise<void> {
 	for (let attempt = 0; attempt < 100 && !condition(); attempt++) {
 		await sleep(20); // eslint-disable-line no-await-in-loop
--- a/src/peers/peer-datagram.ts
+++ b/src/peers/peer-datagram.ts
@@ -8,9 +8,10 @@
 import type {RowChange} from '../watch/row-source.js';
 import type {TableDigest} from '../watch/table-replica.js';
 import type {ReplicationStatus} from '../watch/table-replication.js';
+import type {SilentPeer} from './peer-membership.js';
 
 /** Version of the datagram format. */
-const formatVersion = 1;
+const formatVersion = 2;
 
 /** Greatest number of entries in any list of a datagram; a datagram with a longer list is rejected. */
 const maximumEntries = 500;
@@ -27,8 +28,8 @@
 export type PeerDatagram = {
 	/** Instance name and process start of the sender; prefix of the keys of its placements. */
 	origin: string;
-	/** State of the sender's table replicas. */
-	replication: ReplicationStatus;
+	/** State of the sender's table replicas; undefined in datagrams that only report placements. */
+	replication: ReplicationStatus | undefined;
 	/** `reply` asks for any datagram, so that both instances know each other; `peer-list` for one with the addresses of all other instances. */
 	replyRequest: ReplyRequest;
 	placements: readonly Placement[];
@@ -41,6 +42,8 @@
 	engineSlowdowns: ReadonlyArray<{engineId: string; slowdown: number}>;
 	/** IP addresses of other instances. */
 	peers: readonly string[];
+	/** Processes that the sender monitors and has not heard from. */
+	silentPeers: readonly SilentPeer[];
 };
 
 /** Encoding of an infinite gap target. */
@@ -52,7 +55,7 @@
 	return codec.encode([
 		formatVersion,
 		datagram.origin,
-		encodeReplication(datagram.replication),
+		datagram.replication ? encodeReplication(datagram.replication) : null,
 		replyRequests.indexOf(datagram.replyRequest),
 		datagram.placements.map(({key, assignments, eventGapTarget, weight, startsAt, expiresAt}) => [
 			Number(key.slice(keyPrefixLength)),
@@ -67,6 +70,7 @@
 		datagram.avoidedEngines.map(({engineId, duration}) => [engineId, Math.round(duration)]),
 		datagram.engineSlowdowns.map(({engineId, slowdown}) => [engineId, Math.round(slowdown * 10) / 10]),
 		datagram.peers,
+		datagram.silentPeers.map(({ip, origin}) => [ip, origin]),
 	]);
 }
 
@@ -81,22 +85,32 @@
 /** @throws {DatagramError} If the bytes are malformed or of another version. */
 export function decodeDatagram(bytes: Uint8Array, now: number): PeerDatagram {
 	try {
-		const [receivedVersion, origin, replication, replyRequest, placements, startedKeys, endedKeys, avoidedEngines, engineSlowdowns, peers] = asList(codec.decode(bytes));
+		const [receivedVersion, origin, replication, replyRequest, placements, startedKeys, endedKeys, avoidedEngines, engineSlowdowns, peers, silentPeers] = asList(codec.decode(bytes), 'datagram');
 		if (receivedVersion !== formatVersion) {
 			throw new DatagramError(`unsupported version ${String(receivedVersion)}, expected ${formatVersion}`);
 		}
 
-		const sender = asText(origin);
+		const sender = asText(origin, 'origin');
 		return {
 			origin: sender,
-			replication: decodeReplication(asList(replication)),
-			replyRequest: replyRequests[asNumber(replyRequest)] ?? 'none',
-			placements: asList(placements).map(entry => decodePlacement(sender, asList(entry), now)),
-			startedKeys: asList(startedKeys).map(sequence => `${sender}/${asNumber(sequence)}`),
-			endedKeys: asList(endedKeys).map(sequence => `${sender}/${asNumber(sequence)}`),
-			avoidedEngines: asList(avoidedEngines).map(entry => ({engineId: asText(asList(entry)[0]), duration: asNumber(asList(entry)[1])})),
-			engineSlowdowns: asList(engineSlowdowns).map(entry => ({engineId: asText(asList(entry)[0]), slowdown: asNumber(asList(entry)[1])})),
-			peers: asList(peers).map(peer => asText(peer)),
+			replication: replication === null ? undefined : decodeReplication(asList(replication, 'replication')),
+			replyRequest: replyRequests[asNumber(replyRequest, 'replyRequest')] ?? 'none',
+			placements: asList(placements, 'placements').map(entry => decodePlacement(sender, asList(entry, 'placement'), now)),
+			startedKeys: asList(startedKeys, 'startedKeys').map(sequence => `${sender}/${asNumber(sequence, 'started sequence')}`),
+			endedKeys: asList(endedKeys, 'endedKeys').map(sequence => `${sender}/${asNumber(sequence, 'ended sequence')}`),
+			avoidedEngines: asList(avoidedEngines, 'avoidedEngines').map(entry => {
+				const [engineId, duration] = asList(entry, 'avoided engine');
+				return {engineId: asText(engineId, 'avoided engine id'), duration: asNumber(duration, 'duration to avoid an engine')};
+			}),
+			engineSlowdowns: asList(engineSlowdowns, 'engineSlowdowns').map(entry => {
+				const [engineId, slowdown] = asList(entry, 'engine slowdown');
+				return {engineId: asText(engineId, 'slow engine id'), slowdown: asNumber(slowdown, 'slowdown')};
+			}),
+			peers: asList(peers, 'peers').map(peer => asText(peer, 'peer address')),
+			silentPeers: asList(silentPeers, 'silentPeers').map(entry => {
+				const [ip, silentOrigin] = asList(entry, 'silent peer');
+				return {ip: asText(ip, 'address of a silent peer'), origin: asText(silentOrigin, 'origin of a silent peer')};
+			}),
 		};
 	} catch (error) {
 		throw error instanceof DatagramError ? error : new DatagramError(String(error));
@@ -116,9 +130,9 @@
 }
 
 function decodeReplication([isStoreWatcher, canReachStore, isRecoveringFromOutage, digests, deltas]: readonly unknown[]): ReplicationStatus {
-	const [first, second] = asList(digests).map(digest => decodeDigest(digest));
+	const [first, second] = asList(digests, 'digests').map(digest => decodeDigest(digest));
 	if (!first || !second) {
-		throw new DatagramError('the digest of a table is missing');
+		throw new DatagramError('field digests: expected two digests');
 	}
 
 	return {
@@ -126,60 +140,94 @@
 		canReachStore: canReachStore === true,
 		isRecoveringFromOutage: isRecoveringFromOutage === true,
 		digests: [first, second],
-		deltas: asList(deltas).map(delta => {
-			const [table, baseChecksum, digest, rows] = asList(delta);
-			return {
-				table: table === 0 ? 0 : 1, baseChecksum: asNumber(baseChecksum), digest: decodeDigest(digest), rows: asList(rows).map(row => decodeRow(asList(row))),
-			};
-		}),
+		deltas: asList(deltas, 'deltas').flatMap(delta => decodeDelta(asList(delta, 'delta'))),
 	};
 }
 
+/** Decodes a delta, or leaves it out where a row cannot be read: the digest then tells the receiver to fetch the table. */
+function decodeDelta([table, baseChecksum, digest, rows]: readonly unknown[]): ReplicationStatus['deltas'] {
+	const decodedRows = asList(rows, 'rows').map(row => decodeRow(row));
+	if (decodedRows.includes(undefined)) {
+		return [];
+	}
+
+	return [{
+		table: table === 0 ? 0 : 1,
+		baseChecksum: asNumber(baseChecksum, 'baseChecksum'),
+		digest: decodeDigest(digest),
+		rows: decodedRows.filter(row => row !== undefined),
+	}];
+}
+
 function decodeDigest(digest: unknown): TableDigest {
-	const [version, checksum] = asList(digest);
-	return {version: asNumber(version), checksum: asNumber(checksum)};
+	const [version, checksum] = asList(digest, 'digest');
+	return {version: asNumber(version, 'digest version'), checksum: asNumber(checksum, 'digest checksum')};
 }
 
-function decodeRow([key, value]: readonly unknown[]): RowChange {
-	return value === false ? {key: asText(key), value: undefined, removed: true} : {key: asText(key), value: asText(value), removed: false};
+function decodeRow(row: unknown): RowChange | undefined {
+	const [key, value] = Array.isArray(row) ? row as unknown[] : [];
+	if (typeof key !== 'string') {
+		return undefined;
+	}
+
+	if (value === false) {
+		return {key, value: undefined, removed: true};
+	}
+
+	return typeof value === 'string' ? {key, value, removed: false} : undefined;
 }
 
 function decodePlacement(origin: string, [sequence, eventGapTarget, weight, lifetime, startDelay, assignments]: readonly unknown[], now: number): Placement {
+	const gapTarget = asNumber(eventGapTarget, 'event gap target');
 	return {
-		key: `${origin}/${asNumber(sequence)}`,
-		eventGapTarget: asNumber(eventGapTarget) === noGapTarget ? Number.POSITIVE_INFINITY : asNumber(eventGapTarget),
-		weight: asNumber(weight),
-		startsAt: now + asNumber(startDelay),
-		expiresAt: now + asNumber(lifetime),
-		assignments: asList(assignments).map(assignment => {
-			const [engineId, prefillTime, kvCacheTokens, runsDecode] = asList(assignment);
+		key: `${origin}/${asNumber(sequence, 'placement sequence')}`,
+		eventGapTarget: gapTarget === noGapTarget ? Number.POSITIVE_INFINITY : gapTarget,
+		weight: asNumber(weight, 'placement weight'),
+		startsAt: now + asNumber(startDelay, 'start delay of a placement'),
+		expiresAt: now + asNumber(lifetime, 'lifetime of a placement'),
+		assignments: asList(assignments, 'assignments').map(assignment => {
+			const [engineId, prefillTime, kvCacheTokens, runsDecode] = asList(assignment, 'assignment');
 			return {
-				engineId: asText(engineId), prefillTime: asNumber(prefillTime), kvCacheTokens: asNumber(kvCacheTokens), runsDecode: runsDecode === true,
+				engineId: asText(engineId, 'assigned engine id'),
+				prefillTime: asNumber(prefillTime, 'prefill time'),
+				kvCacheTokens: asNumber(kvCacheTokens, 'KV cache tokens'),
+				runsDecode: runsDecode === true,
 			};
 		}),
 	};
 }
 
-function asList(value: unknown): readonly unknown[] {
-	if (!Array.isArray(value) || value.length > maximumEntries) {
-		throw new DatagramError(`expected a list of at most ${maximumEntries} entries`);
+function asList(value: unknown, field: string): readonly unknown[] {
+	if (!Array.isArray(value)) {
+		throw new DatagramError(`field ${field}: expected a list, got ${describe(value)}`);
+	}
+
+	if (value.length > maximumEntries) {
+		throw new DatagramError(`field ${field}: got ${value.length} entries, expected at most ${maximumEntries}`);
 	}
 
 	return value;
 }
 
-function asText(value: unknown): string {
+function asText(value: unknown, field: string): string {
 	if (typeof value !== 'string' || value === '') {
-		throw new DatagramError('expected a non-empty string');
+		throw new DatagramError(`field ${field}: expected a non-empty string, got ${describe(value)}`);
 	}
 
 	return value;
 }
 
-function asNumber(value: unknown): number {
+function asNumber(value: unknown, field: string): number {
 	if (typeof value !== 'number' || !Number.isFinite(value)) {
-		throw new DatagramError('expected a finite number');
+		throw new DatagramError(`field ${field}: expected a finite number, got ${describe(value)}`);
 	}
 
 	return value;
 }
+
+/** Longest description of a value in an error, in characters. */
+const maximumDescriptionLength = 60;
+
+function describe(value: unknown): string {
+	return `${typeof value} ${String(JSON.stringify(value)).slice(0, maximumDescriptionLength)}`;
+}
--- a/src/peers/peer-messenger.ts
+++ b/src/peers/peer-messenger.ts
@@ -19,24 +19,21 @@
 import type {ReplicationStatus} from '../watch/table-replication.js';
 import type {TableIndex} from './table-transfer.js';
 import {decodeDatagram, encodeDatagram, type PeerDatagram} from './peer-datagram.js';
+import {heartbeatInterval, PeerMembership} from './peer-membership.js';
 
 /** Time in milliseconds for which reports are collected into one batch: urgent ones (placements, engines to avoid) and all others. */
 const urgentBatchDelay = 1;
 const batchDelay = 60;
 
-/** Time in milliseconds between two rounds of heartbeats. */
-const heartbeatInterval = 500;
-
-/** Number of peers that each round of heartbeats is sent to. */
-const peersPerHeartbeat = 6;
-
-/** Missed heartbeats after which a peer's placements are dropped, and after which the peer is removed or no longer contacted. */
-const heartbeatsUntilSilent = 4;
-const heartbeatsUntilGone = 15;
+/** Rounds of heartbeats in which an address is contacted until it replies or is given up. */
+const maximumContactAttempts = 15;
 
 /** Most addresses in a peer list; those of 350 instances fit into one datagram of 6 KB. */
 const maximumListedPeers = 400;
 
+/** Shortest time in milliseconds between two broadcasts with which this instance answers reports that it is silent. */
+const minimumRefutationInterval = 1000;
+
 /** Rounds of heartbeats between two requests for the peer list of some peer; they join the parts of a fleet that started up partitioned. */
 const heartbeatsPerPeerListRequest = 20;
 
@@ -56,60 +53,76 @@
 	loadTracker: LoadTracker;
 	engineHealth: EngineHealth;
 	log: EventLog;
+	/** IP addresses of the instances that are to know a placement of this instance now. */
+	subscribersOf: (placement: Placement) => readonly string[];
 	/** Status included in each datagram. */
 	replicationStatus: () => Omit<ReplicationStatus, 'deltas'>;
 	/** Called with the status in each received datagram. */
 	onReplicationStatus: (ip: string, status: ReplicationStatus) => void;
 };
 
-type Peer = PeerStatus & {
-	origin: string;
-	isSilent: boolean;
+/** Reports for one group of peers. */
+type ReportBatch = {
+	placements: Placement[];
+	startedKeys: string[];
+	endedKeys: string[];
+	avoidedEngines: Array<{engineId: string; duration: number}>;
+	engineSlowdowns: Array<{engineId: string; slowdown: number}>;
 };
 
 /** Sends the reports of this instance to its peers and processes theirs. */
 export class PeerMessenger implements PlacementListener {
 	readonly #options: PeerMessengerOptions;
 	readonly #socket = dgram.createSocket('udp4');
-	readonly #peers = new Map<string, Peer>();
+	readonly #membership: PeerMembership;
 	/** Addresses that have not replied yet, with the number of attempts to contact them. */
 	readonly #contactAttempts = new Map<string, number>();
-	#pendingPlacements: Placement[] = [];
-	#pendingStartedKeys: string[] = [];
-	#pendingEndedKeys: string[] = [];
-	#pendingAvoidedEngines: Array<{engineId: string; duration: number}> = [];
-	#pendingEngineSlowdowns: Array<{engineId: string; slowdown: number}> = [];
+	/** Reports that are not sent yet, by the list of peers that they go to. */
+	#pendingReports = new Map<readonly string[], ReportBatch>();
+	/** Peers that were told of each placement of this instance. */
+	readonly #subscribersByKey = new Map<string, readonly string[]>();
 	#batchTimer: NodeJS.Timeout | undefined;
 	#isBatchUrgent = false;
 	#heartbeatTimer: NodeJS.Timeout | undefined;
-	#nextPeerIndex = 0;
 	#heartbeatCount = 0;
+	#lastRefutationAt = Number.NEGATIVE_INFINITY;
 
 	constructor(options: PeerMessengerOptions) {
 		this.#options = options;
+		this.#membership = new PeerMembership(options.ip);
 	}
 
 	/** Number of known peers, including silent ones that are not yet removed. */
 	get peerCount(): number {
-		return this.#peers.size;
+		return this.#membership.size;
 	}
 
 	/** Peers that are not silent. */
 	get alivePeers(): PeerStatus[] {
-		return [...this.#peers.values()].filter(({isSilent}) => !isSilent);
+		return this.#membership.alive;
 	}
 
+	/** IP addresses of the live instances, this one included, in the order of the ring; a new list after each change. */
+	get ring(): readonly string[] {
+		return this.#membership.ring;
+	}
+
+	/** @throws the error of the socket where the address cannot be bound. */
 	async start(): Promise<void> {
 		const {ip, port, log} = this.#options;
 		this.#socket.on('message', (bytes, {address}) => {
 			this.#receive(bytes, address);
 		});
+		await new Promise<void>((resolve, reject) => {
+			this.#socket.once('error', reject);
+			this.#socket.bind(port, ip, () => {
+				this.#socket.off('error', reject);
+				resolve();
+			});
+		});
 		this.#socket.on('error', error => {
 			log.error('peers.socket-failed', {reason: error.message});
 		});
-		await new Promise<void>(resolve => {
-			this.#socket.bind(port, ip, resolve);
-		});
 		this.#heartbeatTimer = setInterval(() => {
 			this.#sendHeartbeats();
 		}, heartbeatInterval);
@@ -124,9 +137,9 @@
 	/** Asks unknown instances for a reply, so that both know each other. */
 	contact(addresses: readonly string[], replyRequest: 'reply' | 'peer-list' = 'peer-list'): void {
 		for (const address of addresses) {
-			if (address !== this.#options.ip && !this.#peers.has(address) && !this.#contactAttempts.has(address)) {
+			if (address !== this.#options.ip && !this.#membership.has(address) && !this.#contactAttempts.has(address)) {
 				this.#contactAttempts.set(address, 1);
-				this.#sendTo([address], {replyRequest});
+				this.#sendStatusTo([address], {replyRequest});
 			}
 		}
 	}
@@ -134,34 +147,48 @@
 	/** Sends changes that this instance received from the store to all peers at once. */
 	broadcastDelta(table: TableIndex, delta: TableDelta): void {
 		const size = delta.rows.reduce((sum, {key, value}) => sum + key.length + (value?.length ?? 0), 0);
-		this.#sendTo([...this.#peers.keys()], {}, size <= maximumDeltaSize ? [{...delta, table}] : []);
+		this.#sendStatusTo(this.#membership.addresses, {}, size <= maximumDeltaSize ? [{...delta, table}] : []);
 	}
 
-	placed(placement: Placement): void {
-		this.#pendingPlacements.push(placement);
+	placed(placement: Placement, subscribers: readonly string[]): void {
+		this.#subscribersByKey.set(placement.key, subscribers);
+		this.#reportsTo(subscribers).placements.push(placement);
 		this.#scheduleSend(true);
 	}
 
 	prefillCompleted(key: string): void {
-		this.#pendingStartedKeys.push(key);
+		this.#reportsTo(this.#subscribersByKey.get(key) ?? []).startedKeys.push(key);
 		this.#scheduleSend(false);
 	}
 
 	ended(key: string): void {
-		this.#pendingEndedKeys.push(key);
+		this.#reportsTo(this.#subscribersByKey.get(key) ?? []).endedKeys.push(key);
+		this.#subscribersByKey.delete(key);
 		this.#scheduleSend(false);
 	}
 
-	cooldownStarted(engineId: string, duration: number): void {
-		this.#pendingAvoidedEngines.push({engineId, duration});
+	cooldownStarted(engineId: string, duration: number, subscribers: readonly string[]): void {
+		this.#reportsTo(subscribers).avoidedEngines.push({engineId, duration});
 		this.#scheduleSend(true);
 	}
 
-	slowdownChanged(engineId: string, slowdown: number): void {
-		this.#pendingEngineSlowdowns.push({engineId, slowdown});
+	slowdownChanged(engineId: string, slowdown: number, subscribers: readonly string[]): void {
+		this.#reportsTo(subscribers).engineSlowdowns.push({engineId, slowdown});
 		this.#scheduleSend(false);
 	}
 
+	#reportsTo(subscribers: readonly string[]): ReportBatch {
+		let batch = this.#pendingReports.get(subscribers);
+		if (!batch) {
+			batch = {
+				placements: [], startedKeys: [], endedKeys: [], avoidedEngines: [], engineSlowdowns: [],
+			};
+			this.#pendingReports.set(subscribers, batch);
+		}
+
+		return batch;
+	}
+
 	#scheduleSend(isUrgent: boolean): void {
 		if (this.#batchTimer && (this.#isBatchUrgent || !isUrgent)) {
 			return;
@@ -171,31 +198,31 @@
 		this.#isBatchUrgent = isUrgent;
 		this.#batchTimer = setTimeout(() => {
 			this.#batchTimer = undefined;
-			this.#sendBatch();
+			this.#sendReports();
 		}, isUrgent ? urgentBatchDelay : batchDelay);
 	}
 
-	#sendBatch(): void {
-		const batch = {
-			placements: this.#pendingPlacements, startedKeys: this.#pendingStartedKeys, endedKeys: this.#pendingEndedKeys,
-			avoidedEngines: this.#pendingAvoidedEngines, engineSlowdowns: this.#pendingEngineSlowdowns,
-		};
-		this.#pendingPlacements = [];
-		this.#pendingStartedKeys = [];
-		this.#pendingEndedKeys = [];
-		this.#pendingAvoidedEngines = [];
-		this.#pendingEngineSlowdowns = [];
-		this.#sendTo([...this.#peers.keys()], batch);
+	#sendReports(): void {
+		const pending = this.#pendingReports;
+		this.#pendingReports = new Map();
+		for (const [subscribers, batch] of pending) {
+			this.#sendTo(subscribers, batch);
+		}
+	}
+
+	/** Sends a datagram with the state of this instance's tables. */
+	#sendStatusTo(addresses: readonly string[], parts: Partial<PeerDatagram>, deltas: ReplicationStatus['deltas'] = []): void {
+		this.#sendTo(addresses, {...parts, replication: {...this.#options.replicationStatus(), deltas}});
 	}
 
-	#sendTo(addresses: readonly string[], parts: Partial<Omit<PeerDatagram, 'replication'>>, deltas: ReplicationStatus['deltas'] = []): void {
+	#sendTo(addresses: readonly string[], parts: Partial<PeerDatagram>): void {
 		if (addresses.length === 0) {
 			return;
 		}
 
-		const {origin, replicationStatus, port, log} = this.#options;
+		const {origin, port, log} = this.#options;
 		const bytes = encodeDatagram({
-			origin, replication: {...replicationStatus(), deltas}, replyRequest: 'none', placements: [], startedKeys: [], endedKeys: [], avoidedEngines: [], engineSlowdowns: [], peers: [], ...parts,
+			origin, replication: undefined, replyRequest: 'none', placements: [], startedKeys: [], endedKeys: [], avoidedEngines: [], engineSlowdowns: [], peers: [], silentPeers: [], ...parts,
 		}, performance.now());
 		for (const address of addresses) {
 			this.#socket.send(bytes, port, address, error => {
@@ -210,41 +237,41 @@
 		const now = performance.now();
 		this.#options.loadTracker.removeExpired(now);
 		this.#checkSilentPeers(now);
-		const all = [...this.#peers.keys()];
+		const all = this.#membership.addresses;
 		// A store watcher sends to all peers, as they depend on hearing from the watchers.
-		const count = this.#options.replicationStatus().isStoreWatcher ? all.length : Math.min(peersPerHeartbeat, all.length);
-		this.#sendTo(Array.from({length: count}, (_, index) => all[(this.#nextPeerIndex + index) % all.length]!), {});
-		this.#nextPeerIndex = all.length === 0 ? 0 : (this.#nextPeerIndex + count) % all.length;
+		this.#sendStatusTo(this.#options.replicationStatus().isStoreWatcher ? all : this.#membership.nextHeartbeatTargets(), {});
 		this.#heartbeatCount += 1;
 		if (all.length > 0 && this.#heartbeatCount % heartbeatsPerPeerListRequest === 0) {
-			this.#sendTo([all[this.#nextPeerIndex]!], {replyRequest: 'peer-list'});
+			this.#sendStatusTo([all[this.#heartbeatCount / heartbeatsPerPeerListRequest % all.length]!], {replyRequest: 'peer-list'});
 		}
 
 		for (const [address, attempts] of this.#contactAttempts) {
-			if (attempts >= heartbeatsUntilGone) {
+			if (attempts >= maximumContactAttempts) {
 				this.#contactAttempts.delete(address);
 			} else {
 				this.#contactAttempts.set(address, attempts + 1);
-				this.#sendTo([address], {replyRequest: 'reply'});
+				this.#sendStatusTo([address], {replyRequest: 'reply'});
 			}
 		}
 	}
 
-	/** Heartbeats are sent round-robin, so the time between two heartbeats of a peer grows with the number of peers. */
 	#checkSilentPeers(now: number): void {
-		const expectedInterval = heartbeatInterval * Math.max(1, Math.ceil(this.#peers.size / peersPerHeartbeat));
-		for (const peer of this.#peers.values()) {
-			const silence = now - peer.lastMessageAt;
-			if (silence > expectedInterval * heartbeatsUntilSilent && !peer.isSilent) {
-				peer.isSilent = true;
-				this.#options.loadTracker.removeAllOf(`${peer.origin}/`, now);
-				this.#options.log.warn('peer.silent', {peer: peer.ip, origin: peer.origin, silence: Math.round(silence)});
-			}
+		const {log} = this.#options;
+		const {silent, reported, suspects, gone, isIsolated} = this.#membership.checkSilence(now);
+		for (const peer of [...silent, ...reported]) {
+			this.#options.loadTracker.removeAllOf(`${peer.origin}/`, now);
+			log.warn('peer.silent', {
+				peer: peer.ip, origin: peer.origin, silence: Math.round(now - peer.lastMessageAt), noticed_by: silent.includes(peer) ? 'own' : 'reports',
+			});
+		}
 
-			if (silence > expectedInterval * heartbeatsUntilGone) {
-				this.#peers.delete(peer.ip);
-				this.#options.log.info('peer.gone', {peer: peer.ip, origin: peer.origin});
-			}
+		for (const {ip, origin} of gone) {
+			log.info('peer.gone', {peer: ip, origin});
+		}
+
+		this.#sendStatusTo(suspects, {replyRequest: 'reply'});
+		if (silent.length > 0 && !isIsolated) {
+			this.#sendStatusTo(this.#membership.addresses, {silentPeers: silent.map(({ip, origin}) => ({ip, origin})).slice(0, maximumListedPeers)});
 		}
 	}
 
@@ -254,9 +281,13 @@
 			const datagram = decodeDatagram(bytes, now);
 			this.#recordPeer(ip, datagram, now);
 			this.#applyDatagram(datagram, now);
-			this.#options.onReplicationStatus(ip, datagram.replication);
+			this.#applySilenceReports(ip, datagram.silentPeers, now);
+			if (datagram.replication) {
+				this.#options.onReplicationStatus(ip, datagram.replication);
+			}
+
 			if (datagram.replyRequest !== 'none') {
-				this.#sendTo([ip], {peers: datagram.replyRequest === 'peer-list' ? [...this.#peers.keys()].slice(0, maximumListedPeers) : []});
+				this.#sendStatusTo([ip], {peers: datagram.replyRequest === 'peer-list' ? this.#membership.addresses.slice(0, maximumListedPeers) : []});
 			}
 
 			this.contact(datagram.peers, 'reply');
@@ -265,45 +296,75 @@
 		}
 	}
 
-	#recordPeer(ip: string, {origin, replication: {isStoreWatcher, canReachStore}}: PeerDatagram, now: number): void {
+	#recordPeer(ip: string, {origin, replication}: PeerDatagram, now: number): void {
+		const {log, loadTracker} = this.#options;
 		this.#contactAttempts.delete(ip);
-		const peer = this.#peers.get(ip);
-		if (!peer) {
-			this.#peers.set(ip, {
-				ip, origin, lastMessageAt: now, isSilent: false, isStoreWatcher, canReachStore,
-			});
-			this.#options.log.info('peer.known', {peer: ip, origin, peers: this.#peers.size});
-			this.#sendOwnPlacements(ip);
-			return;
-		}
+		const {change, previousOrigin} = this.#membership.recordMessage(ip, origin, replication, now);
+		switch (change) {
+			case 'new': {
+				log.info('peer.known', {peer: ip, origin, peers: this.#membership.size});
+				this.#sendOwnPlacements(ip);
+				break;
+			}
 
-		if (peer.origin !== origin) {
-			this.#options.loadTracker.removeAllOf(`${peer.origin}/`, now);
-			this.#options.log.info('peer.restarted', {peer: ip, origin, before: peer.origin});
-			peer.origin = origin;
-			this.#sendOwnPlacements(ip);
-		}
+			case 'restarted': {
+				loadTracker.removeAllOf(`${previousOrigin}/`, now);
+				log.info('peer.restarted', {peer: ip, origin, before: previousOrigin});
+				this.#sendOwnPlacements(ip);
+				break;
+			}
 
-		if (peer.isSilent) {
-			this.#options.log.info('peer.regained', {peer: ip, origin});
-		}
+			case 'regained': {
+				log.info('peer.regained', {peer: ip, origin});
+				break;
+			}
 
-		peer.lastMessageAt = now;
-		peer.isSilent = false;
-		peer.isStoreWatcher = isStoreWatcher;
-		peer.canReachStore = canReachStore;
+			case 'none': {
+				break;
+			}
+		}
 	}
 
-	/** Sends all placements of this instance to a new or restarted peer. */
+	/** Sends all placements of this instance that a peer is told of, for a new or restarted one. */
 	#sendOwnPlacements(ip: string): void {
 		const {placements, prefilledKeys} = this.#options.loadTracker.placementsOf(`${this.#options.origin}/`);
-		for (let offset = 0; offset < placements.length; offset += maximumPlacementsPerDatagram) {
-			const part = placements.slice(offset, offset + maximumPlacementsPerDatagram);
+		const told = placements.filter(placement => this.#options.subscribersOf(placement).includes(ip));
+		for (const {key} of told) {
+			const subscribers = this.#subscribersByKey.get(key) ?? [];
+			this.#subscribersByKey.set(key, subscribers.includes(ip) ? subscribers : [...subscribers, ip]);
+		}
+
+		for (let offset = 0; offset < told.length; offset += maximumPlacementsPerDatagram) {
+			const part = told.slice(offset, offset + maximumPlacementsPerDatagram);
 			const keys = new Set(part.map(({key}) => key));
 			this.#sendTo([ip], {placements: part, startedKeys: prefilledKeys.filter(key => keys.has(key))});
 		}
 	}
 
+	/** Takes over reports of silent processes. One that names this process is answered by a message to all, which ends the silence. */
+	#applySilenceReports(reporter: string, silentPeers: PeerDatagram['silentPeers'], now: number): void {
+		for (const reported of silentPeers) {
+			if (reported.origin === this.#options.origin) {
+				this.#refuteSilence(reporter, now);
+			} else {
+				this.#membership.recordReport(reported, now);
+			}
+		}
+	}
+
+	#refuteSilence(reporter: string, now: number): void {
+		if (now - this.#lastRefutationAt < minimumRefutationInterval) {
+			return;
+		}
+
+		this.#lastRefutationAt = now;
+		this.#options.log.warn('peer.reported-silent', {by: reporter});
+		for (const ip of this.#membership.addresses) {
+			this.#sendStatusTo([ip], {});
+			this.#sendOwnPlacements(ip);
+		}
+	}
+
 	#applyDatagram({placements, startedKeys, endedKeys, avoidedEngines, engineSlowdowns}: PeerDatagram, now: number): void {
 		const {loadTracker, engineHealth} = this.#options;
 		for (const placement of placements) {
--- a/src/placement/placement-coordinator.ts
+++ b/src/placement/placement-coordinator.ts
@@ -7,6 +7,7 @@
 import type {EngineProfile, EngineRecord, Service} from '../serving/model.js';
 import {hashPosition} from './hash-position.js';
 import type {EngineHealth} from './engine-health.js';
+import type {EngineSubsetting} from './engine-subsetting.js';
 import type {LoadTracker, Placement} from './load-tracker.js';
 import {
 	longPrefillThreshold, placePrompt, type PromptCandidate, type PromptDecision, type PromptRequirements,
@@ -15,23 +16,27 @@
 
 /** Engines that accept new requests. */
 export interface EngineSource {
+	/** Ready engines of a service; a new list after each change. */
 	ready(service: string): readonly EngineRecord[];
+	get(id: string): EngineRecord | undefined;
 }
 
-/** Receives this instance's placements and observations, to report them to the other instances. */
+/** Receives this instance's placements and observations, to report them to the instances with the given IP addresses. */
 export interface PlacementListener {
-	placed(placement: Placement): void;
+	placed(placement: Placement, subscribers: readonly string[]): void;
+	/** Told to those that were told of the placement, as is its end. */
 	prefillCompleted(key: string): void;
 	ended(key: string): void;
 	/** An engine failed or rejected a request and cools down for some milliseconds. */
-	cooldownStarted(engineId: string, duration: number): void;
+	cooldownStarted(engineId: string, duration: number, subscribers: readonly string[]): void;
 	/** An engine's slowdown changed, the factor on its published times. */
-	slowdownChanged(engineId: string, slowdown: number): void;
+	slowdownChanged(engineId: string, slowdown: number, subscribers: readonly string[]): void;
 }
 
 /** What a coordinator works with. */
 export type PlacementCoordinatorOptions = {
 	engines: EngineSource;
+	subsetting: EngineSubsetting;
 	loadTracker: LoadTracker;
 	engineHealth: EngineHealth;
 	listener: PlacementListener;
@@ -70,7 +75,7 @@
 	decidePromptPlacement(service: Service, profile: EngineProfile, requirements: PromptRequirements, excluded: ReadonlySet<string>): PromptDecision & {candidates: number} {
 		const now = performance.now();
 		const {loadTracker, engineHealth, hasPeers, origin} = this.#options;
-		const candidates = this.#candidates(service, excluded).map((record): PromptCandidate => ({
+		const candidates = this.#promptCandidates(service, excluded).map((record): PromptCandidate => ({
 			record,
 			load: loadTracker.snapshot(record.id, now),
 			slowdown: engineHealth.slowdown(record.id, now),
@@ -114,7 +119,7 @@
 			this.#longPrefills.add(placement.key);
 		}
 
-		this.#options.listener.placed(placement);
+		this.#options.listener.placed(placement, this.#options.subsetting.subscribersOf(placement));
 		return placement.key;
 	}
 
@@ -145,13 +150,13 @@
 	/** Records that an engine failed a request by its own fault. */
 	recordFailure(engineId: string): void {
 		const duration = this.#options.engineHealth.recordFailure(engineId, performance.now());
-		this.#options.listener.cooldownStarted(engineId, duration);
+		this.#options.listener.cooldownStarted(engineId, duration, this.#options.subsetting.subscribers([engineId]));
 	}
 
 	/** Records that an engine rejected a request; its queue is full for a moment, which is no failure. */
 	recordRejection(engineId: string): void {
 		this.#options.engineHealth.startCooldown(engineId, rejectionCooldown, performance.now());
-		this.#options.listener.cooldownStarted(engineId, rejectionCooldown);
+		this.#options.listener.cooldownStarted(engineId, rejectionCooldown, this.#options.subsetting.subscribers([engineId]));
 	}
 
 	/** Records that the engine with an address or id failed a request for which another engine had asked it to prefill. */
@@ -169,10 +174,16 @@
 		const slowdown = this.#options.engineHealth.slowdown(engineId, now);
 		if (Math.abs(slowdown - (this.#reportedSlowdowns.get(engineId) ?? 1)) >= reportedSlowdownChange) {
 			this.#reportedSlowdowns.set(engineId, slowdown);
-			this.#options.listener.slowdownChanged(engineId, slowdown);
+			this.#options.listener.slowdownChanged(engineId, slowdown, this.#options.subsetting.subscribers([engineId]));
 		}
 	}
 
+	/** Engines for a prompt: those of this instance's subset, or any where none of these is left. */
+	#promptCandidates(service: Service, excluded: ReadonlySet<string>): readonly EngineRecord[] {
+		const subset = this.#options.subsetting.subset(service.name).filter(({id}) => !excluded.has(id));
+		return subset.length > 0 ? subset : this.#candidates(service, excluded);
+	}
+
 	/** Ready engines of a service without the excluded ones. */
 	#candidates(service: Service, excluded: ReadonlySet<string>): readonly EngineRecord[] {
 		const ready = this.#options.engines.ready(service.name);
--- a/src/serving/__tests__/engine-chooser.test.ts
+++ b/src/serving/__tests__/engine-chooser.test.ts
@@ -2,6 +2,7 @@
 import fakeTimers from '@sinonjs/fake-timers';
 import test from 'ava';
 import {EngineHealth} from '../../placement/engine-health.js';
+import {EngineSubsetting} from '../../placement/engine-subsetting.js';
 import {LoadTracker} from '../../placement/load-tracker.js';
 import {PlacementCoordinator} from '../../placement/placement-coordinator.js';
 import {EventLog} from '../../telemetry/log.js';
@@ -48,8 +49,11 @@
 	}
 
 	const ignore = () => undefined;
+	const engines = {ready: () => readyEngines, get: (id: string) => readyEngines.find(engine => engine.id === id)};
+	const ring = ['127.0.0.1'];
 	const placementCoordinator = new PlacementCoordinator({
-		engines: {ready: () => readyEngines}, loadTracker, engineHealth: new EngineHealth(), failureDomain: 'a', origin: 'self', hasPeers: () => true,
+		engines, subsetting: new EngineSubsetting({ownIp: ring[0]!, instances: () => ring, engines}), loadTracker,
+		engineHealth: new EngineHealth(), failureDomain: 'a', origin: 'self', hasPeers: () => true,
 		listener: {
 			placed: ignore, prefillCompleted: ignore, ended: ignore, cooldownStarted: ignore, slowdownChanged: ignore,
 		},
--- a/src/serving/serving-instance.ts
+++ b/src/serving/serving-instance.ts
@@ -10,6 +10,7 @@
 import {delay} from '../request/time-limit.js';
 import {fetchTableSnapshot, type TableIndex, TableServer} from '../peers/table-transfer.js';
 import {EngineHealth} from '../placement/engine-health.js';
+import {EngineSubsetting} from '../placement/engine-subsetting.js';
 import {LoadTracker} from '../placement/load-tracker.js';
 import {PlacementCoordinator} from '../placement/placement-coordinator.js';
 import type {EngineReservationClient} from '../placement/reservations.js';
@@ -124,8 +125,10 @@
 			},
 		});
 		const replicationStatus = () => this.#replication.status;
+		const subsetting = new EngineSubsetting({ownIp: ip, instances: () => this.#peerMessenger.ring, engines: this.#engines});
 		this.#peerMessenger = new PeerMessenger({
 			ip, port: options.peerPort, origin, loadTracker: this.#loadTracker, engineHealth: this.#engineHealth, log, replicationStatus,
+			subscribersOf: placement => subsetting.subscribersOf(placement),
 			onReplicationStatus: (peer, status) => {
 				this.#replication.receive(peer, status);
 			},
@@ -143,7 +146,7 @@
 		});
 		this.#tableServer = new TableServer(table => ({digest: this.#tables[table].replica.digest, rows: this.#tables[table].replica.rows}));
 		const placementCoordinator = new PlacementCoordinator({
-			engines: this.#engines, loadTracker: this.#loadTracker, engineHealth: this.#engineHealth, listener: this.#peerMessenger, failureDomain, origin,
+			engines: this.#engines, subsetting, loadTracker: this.#loadTracker, engineHealth: this.#engineHealth, listener: this.#peerMessenger, failureDomain, origin,
 			hasPeers: () => this.#peerMessenger.peerCount > 0,
 		});
 		const chooser = new EngineChooser({
@@ -270,6 +273,7 @@
 		});
 		const watch = new TableWatch({
 			source: this.#options.store, table: name, listener: replica, maximumPollWait: () => maximumPollWait,
+			watcherCount: () => 1 + this.#peerMessenger.alivePeers.filter(({canReachStore}) => canReachStore).length,
 			canPeersReachStore: () => this.#peerMessenger.alivePeers.some(({canReachStore}) => canReachStore),
 		});
 		return {name, replica, watch};
--- a/src/watch/__tests__/table-watch.test.ts
+++ b/src/watch/__tests__/table-watch.test.ts
@@ -38,7 +38,7 @@
 		},
 	};
 	const watch = new TableWatch({
-		source, table: 'x', maximumPollWait: () => 1000, canPeersReachStore: () => canPeersReachStore, random: () => 0,
+		source, table: 'x', maximumPollWait: () => 1000, watcherCount: () => 1, canPeersReachStore: () => canPeersReachStore, random: () => 0,
 		listener: {
 			onSnapshot(rows, isAfterOutage) {
 				events.push(`snapshot ${rows.length}${isAfterOutage ? ' after outage' : ''}`);
@@ -116,3 +116,30 @@
 	await clock.tickAsync(1500);
 	t.true(calls.length > callsBefore + 1);
 });
+
+for (const {watcherCount, maximumCalls} of [{watcherCount: 1, maximumCalls: 100}, {watcherCount: 5, maximumCalls: 20}, {watcherCount: 9, maximumCalls: 20}]) {
+	test.serial(`one of ${watcherCount} instances polls a table that always changes at most ${maximumCalls} times in 10 s`, async t => {
+		const clock = fakeTimers.install({toFake: ['setTimeout', 'clearTimeout', 'performance']});
+		let calls = 0;
+		const source: RowSource = {
+			read: async () => snapshot,
+			async pollChanges(_table, version) {
+				calls += 1;
+				return {rows: [row], version: version + 1};
+			},
+		};
+		const listener = {
+			onSnapshot: () => undefined, onChanges: () => undefined, onStoreUnavailable: () => undefined,
+		};
+		const watch = new TableWatch({
+			source, table: 'x', listener, maximumPollWait: () => 1000, watcherCount: () => watcherCount, canPeersReachStore: () => true, random: () => 0,
+		});
+		t.teardown(() => {
+			watch.close();
+			clock.uninstall();
+		});
+		void watch.run();
+		await clock.tickAsync(10_000);
+		t.true(calls > 0 && calls <= maximumCalls + 1, `${calls} calls`);
+	});
+}
--- a/src/watch/table-watch.ts
+++ b/src/watch/table-watch.ts
@@ -18,8 +18,11 @@
 /** Factor between two retry delays. */
 const retryBackoffFactor = 2;
 
-/** Delay in milliseconds after changes before the next poll, so that further changes arrive in one batch. */
-const changeBatchDelay = 150;
+/** Delay in milliseconds after changes before the next poll for each instance that watches: they poll in turn and send each other what they receive. */
+const changeBatchDelayPerWatcher = 100;
+
+/** Longest delay in milliseconds after changes, a fraction of the shortest time limit for a change to take effect. */
+const maximumChangeBatchDelay = 500;
 
 /** Random share of poll waits and retry delays, so that the calls of instances do not synchronize. */
 const jitter = 0.5;
@@ -42,6 +45,8 @@
 	listener: TableListener;
 	/** Longest time in milliseconds that a poll waits; evaluated for each poll. */
 	maximumPollWait: () => number;
+	/** Number of instances that watch the store and reach it, this one included. */
+	watcherCount: () => number;
 	/** Whether any peer reaches the store and sends its changes. */
 	canPeersReachStore: () => boolean;
 	/** @default Math.random */
@@ -153,7 +158,7 @@
 	}
 
 	async #pollChanges(sinceVersion: number): Promise<void> {
-		const {source, table, listener, maximumPollWait} = this.#options;
+		const {source, table, listener, maximumPollWait, watcherCount} = this.#options;
 		const wait = Math.round(maximumPollWait() * (1 - (jitter * this.#random())));
 		this.#callController = new AbortController();
 		const {rows, version} = await source.pollChanges(table, sinceVersion, wait, this.#callController.signal);
@@ -161,7 +166,7 @@
 		this.#lastAnswerAt = performance.now();
 		if (rows.length > 0) {
 			listener.onChanges(rows, version);
-			await delay(changeBatchDelay, this.#closeController.signal);
+			await delay(Math.min(maximumChangeBatchDelay, changeBatchDelayPerWatcher * watcherCount()), this.#closeController.signal);
 		} else {
 			listener.onVersionConfirmed?.(version);
 		}
