fix(placement): a rejection by an engine is no failure

Cause: a rejection set the time of the last failure, so that the next real failure began at a cooldown of 2 s. Callers were kept from a sound engine for twice as long after it had been full for a moment.

Two of the cases failed before: the cooldown was 2000 ms instead of 1000.

--- a/src/placement/engine-health.ts
+++ b/src/placement/engine-health.ts
@@ -43,11 +43,14 @@
 		return record.cooldown;
 	}
 
-	/** Starts a cooldown in milliseconds that a peer reports or a rejection asks for. */
+	/** Starts a cooldown in milliseconds that a peer reports or a rejection asks for. One as long as a failure's counts as a failure, a rejection's does not. */
 	startCooldown(engineId: string, duration: number, now: number): void {
 		const record = this.#record(engineId);
-		record.lastFailureAt = now;
-		record.cooldown = Math.max(record.cooldown, Math.min(maximumCooldown, duration));
+		if (duration >= initialCooldown) {
+			record.lastFailureAt = now;
+			record.cooldown = Math.max(record.cooldown, Math.min(maximumCooldown, duration));
+		}
+
 		record.cooldownUntil = Math.max(record.cooldownUntil, now + Math.min(maximumCooldown, duration));
 	}
 
