--- a/src/watch/active-configuration.ts
+++ b/src/watch/active-configuration.ts
@@ -71,27 +71,32 @@
 
 	/** Makes a configuration active if it is newer than the current one. */
 	apply(value: string, origin: ConfigurationOrigin): void {
-		const {log, decode, onChange} = this.#options;
-		if (value === this.#encodedValue) {
+		const {log, onChange} = this.#options;
+		const routes = value === this.#encodedValue ? undefined : this.#decode(value, origin);
+		if (!routes || routes.version <= this.version) {
 			return;
 		}
 
+		const {configuration} = routes;
+		log.info('configuration.in-force', {
+			version: configuration.version, before: this.version, origin, routes: configuration.routes.length, customers: configuration.customers?.length,
+		});
+		this.#routes = routes;
+		this.#encodedValue = value;
 		try {
-			const configuration = decode(value);
-			if (configuration.version <= this.version) {
-				return;
-			}
+			onChange(routes);
+		} catch (error) {
+			log.error('configuration.listener-failed', {version: this.version, reason: errorMessage(error)});
+		}
+	}
 
-			const previousVersion = this.version;
-			this.#routes = new RouteTable(configuration);
-			this.#encodedValue = value;
-			log.info('configuration.in-force', {
-				version: configuration.version, before: previousVersion, origin, routes: configuration.routes.length,
-				customers: configuration.customers?.length,
-			});
-			onChange(this.#routes);
+	#decode(value: string, origin: ConfigurationOrigin): RouteTable | undefined {
+		const {log, decode} = this.#options;
+		try {
+			return new RouteTable(decode(value));
 		} catch (error) {
 			log.error('configuration.unreadable', {origin, version: this.version, reason: errorMessage(error)});
+			return undefined;
 		}
 	}
 }
