fix(telemetry): count all lines of a failed write, go on writing, count bytes as written

A failed write counted one dropped line for a batch and left later lines waiting until the next one came; the limit of pending bytes counted UTF-16 units, so that 262,144 became up to 783,288 bytes. Both tests failed before.

--- a/src/telemetry/__tests__/line-writer.test.ts
+++ b/src/telemetry/__tests__/line-writer.test.ts
@@ -88,3 +88,43 @@
 	clock.tick(300);
 	t.is(written.join(''), 'abcdef\n');
 });
+
+test.serial('a failed write counts all its lines as dropped, and the next lines are written', t => {
+	const clock = fakeTimers.install({toFake: ['setTimeout', 'clearTimeout']});
+	t.teardown(() => {
+		clock.uninstall();
+	});
+	const written: string[] = [];
+	const writer = new LineWriter((bytes, done) => {
+		written.push(new TextDecoder().decode(bytes));
+		if (written.length === 1) {
+			writer.write('during the failed write', false);
+			done(Object.assign(new Error('broken pipe'), {code: 'EPIPE'}), 0);
+		} else {
+			done(undefined, bytes.length);
+		}
+	});
+	writer.write('one', false);
+	writer.write('two', false);
+	clock.tick(100);
+	t.is(writer.droppedLineCount, 2);
+	clock.tick(100);
+	t.is(written[1], 'during the failed write\nevent=log.dropped lines=2\n');
+});
+
+test.serial('the limit of pending bytes counts the bytes that are written', t => {
+	const clock = fakeTimers.install({toFake: ['setTimeout', 'clearTimeout', 'performance']});
+	t.teardown(() => {
+		clock.uninstall();
+	});
+	let pendingBytes = 0;
+	const writer = new LineWriter(bytes => {
+		pendingBytes += bytes.length;
+	});
+	for (let number = 0; number < 300; number++) {
+		writer.write('€'.repeat(1000), true);
+	}
+
+	clock.tick(100);
+	t.true(pendingBytes <= 262_144 + 100, `${pendingBytes} bytes`);
+});
--- a/src/telemetry/line-writer.ts
+++ b/src/telemetry/line-writer.ts
@@ -39,6 +39,7 @@
 	#lines: string[] = [];
 	#pendingBytes = 0;
 	#unwrittenBatch: Uint8Array | undefined;
+	#unwrittenLineCount = 0;
 	#timer: NodeJS.Timeout | undefined;
 	#isWriting = false;
 	#droppedLineCount = 0;
@@ -62,7 +63,7 @@
 		}
 
 		this.#lines.push(line);
-		this.#pendingBytes += line.length + 1;
+		this.#pendingBytes += Buffer.byteLength(line) + 1;
 		this.#scheduleWrite();
 	}
 
@@ -86,7 +87,7 @@
 
 		this.#linesInCurrentSecond += 1;
 		const limit = isFailure ? maximumPendingBytes : maximumPendingBytes * ordinaryBufferShare;
-		return this.#pendingBytes + line.length < limit && (isFailure || this.#linesInCurrentSecond <= lineRateLimit);
+		return this.#pendingBytes + Buffer.byteLength(line) < limit && (isFailure || this.#linesInCurrentSecond <= lineRateLimit);
 	}
 
 	#scheduleWrite(): void {
@@ -108,8 +109,11 @@
 				return;
 			}
 
+			this.#unwrittenLineCount = this.#lines.length;
 			if (this.#droppedLineCount > 0) {
-				this.#lines.push(`event=log.dropped lines=${this.#droppedLineCount}`);
+				const line = `event=log.dropped lines=${this.#droppedLineCount}`;
+				this.#lines.push(line);
+				this.#pendingBytes += line.length + 1;
 				this.#droppedLineCount = 0;
 			}
 
@@ -127,13 +131,10 @@
 		this.#isWriting = false;
 		const batch = this.#unwrittenBatch!;
 		if (error && error.code !== 'EAGAIN') {
-			// The reader is gone, so that the failure cannot be reported anywhere.
-			this.#droppedLineCount += 1;
+			// The failure cannot be reported anywhere but in the count, if a later write succeeds.
+			this.#droppedLineCount += this.#unwrittenLineCount;
 			this.#releaseBatch(batch.length);
-			return;
-		}
-
-		if (!error && written >= batch.length) {
+		} else if (!error && written >= batch.length) {
 			this.#releaseBatch(batch.length);
 		} else if (!error) {
 			this.#unwrittenBatch = batch.subarray(written);
