feat(serving): prompts at a starting instance wait for the placements of peers

Change: prompts wait until a seed has replied and reported its placements (20 ms, 250 ms at most), then a random part of 60 ms.

--- a/src/serving/__tests__/engine-chooser.test.ts
+++ b/src/serving/__tests__/engine-chooser.test.ts
@@ -36,7 +36,7 @@
 }
 
 /** A chooser over two engines, each of which prefills a prompt for 1000 ms and decodes its answer. */
-function createBusyChooser() {
+function createBusyChooser(peersKnown: Promise<void> = Promise.resolve(), random = () => 0) {
 	const readyEngines = [createEngineRecord('one'), createEngineRecord('two')];
 	const loadTracker = new LoadTracker();
 	for (const {id} of readyEngines) {
@@ -60,7 +60,7 @@
 	});
 	const log = new EventLog({write: ignore});
 	const chooser = new EngineChooser({
-		placementCoordinator, log, onMisdirected: ignore,
+		placementCoordinator, log, onMisdirected: ignore, peersKnown, random,
 		reservations: {
 			log, memoryReleaseTimeout: 4000, maximumReservationLifetime: 20_000, client: {reserve: async () => true, release: async () => true},
 		},
@@ -122,3 +122,31 @@
 
 	t.is(loadTracker.size, 2);
 });
+
+// After the loss of all instances, all callers return at once to instances that know nothing of the load.
+test.serial('prompts at a starting instance wait until it knows what peers have placed, and are then placed one after another', async t => {
+	const clock = fakeTimers.install({toFake: ['performance', 'setTimeout', 'clearTimeout']});
+	t.teardown(() => {
+		clock.uninstall();
+	});
+	let resolvePeersKnown: () => void = () => undefined;
+	const peersKnown = new Promise<void>(resolve => {
+		resolvePeersKnown = resolve;
+	});
+	let draws = 0;
+	const {chooser, loadTracker} = createBusyChooser(peersKnown, () => (++draws) / 10);
+	const before = loadTracker.size;
+	const placedAt: number[] = [];
+	for (const requestId of ['one', 'two', 'three']) {
+		void chooser.choose({...input, requestId, headerValues: {...input.headerValues, promptTokens: 1000}}).then(() => {
+			placedAt.push(performance.now());
+		});
+	}
+
+	await clock.tickAsync(200);
+	t.is(loadTracker.size, before);
+	resolvePeersKnown();
+	await clock.tickAsync(200);
+	t.is(placedAt.length, 3);
+	t.is(new Set(placedAt).size, 3);
+});
--- a/src/serving/engine-chooser.ts
+++ b/src/serving/engine-chooser.ts
@@ -74,8 +74,18 @@
 	reservations: ReservationsOptions;
 	/** Called when a different engine answers at an engine's address. */
 	onMisdirected: (engineId: string) => void;
+	/** Resolves when what peers have placed is known, or is not to be expected. */
+	peersKnown: Promise<void>;
+	/** @default Math.random */
+	random?: () => number;
 };
 
+/**
+ * Longest random delay in milliseconds of prompts that wait for news of peers, several times the time in which placements
+ * reach them. After the loss of all instances, all callers return at once and would be placed on the same engines.
+ */
+const maximumStartDelay = 60;
+
 /** Placements tried for a prompt before it is refused; one fails if an engine has no memory to reserve or stops being ready. */
 const maximumPlacementAttempts = 4;
 
@@ -116,6 +126,7 @@
 /** Chooses engines for requests. */
 export class EngineChooser {
 	readonly #options: EngineChooserOptions;
+	#arePeersKnown = false;
 
 	constructor(options: EngineChooserOptions) {
 		this.#options = options;
@@ -170,6 +181,7 @@
 		const {placementCoordinator, log} = this.#options;
 		const excluded = new Set(input.excluded);
 		const startedAt = performance.now();
+		await this.#waitForPeers(input.signal);
 		const requirements = {
 			promptTokens,
 			answerTokens: Math.min(headerValues.maximumAnswerTokens > 0 ? headerValues.maximumAnswerTokens : Number.POSITIVE_INFINITY, headerValues.answerTokensHint ?? profile.meanTokens.answer),
@@ -225,6 +237,14 @@
 		};
 	}
 
+	async #waitForPeers(signal: AbortSignal): Promise<void> {
+		if (!this.#arePeersKnown) {
+			await this.#options.peersKnown;
+			this.#arePeersKnown = true;
+			await delay((this.#options.random ?? Math.random)() * maximumStartDelay, signal);
+		}
+	}
+
 	#buildChosenEngine({input: {route, service}, profile, promptTokens, decision, placementKey, reservations, reservationIds}: {
 		input: EngineChoiceInput;
 		profile: EngineProfile;
--- a/src/serving/serving-instance.ts
+++ b/src/serving/serving-instance.ts
@@ -87,6 +87,13 @@
 /** Time in milliseconds within which seeds reply: several times the latency across failure domains, as their processes may have just started. */
 const seedReplyWait = 100;
 
+/** Time in milliseconds between two checks whether a peer has replied, and time in milliseconds after the first reply in which peers report what they have placed. */
+const peerCheckInterval = 10;
+const placementReportWait = 20;
+
+/** Longest time in milliseconds after the start for which prompts wait for reports of peers, even if the store does not name any. */
+const maximumPeerWait = 250;
+
 /** Longest random delay in milliseconds before an instance writes its address, so that not all instances write at once. */
 const maximumJoinDelay = 500;
 
@@ -105,6 +112,8 @@
 	readonly #admission: Admission;
 	readonly #listener: CallerListener;
 	readonly #auxiliaryServers: http.Server[] = [];
+	readonly #peersKnown: Promise<void>;
+	#resolvePeersKnown: (() => void) | undefined;
 	#state: ServingState = 'serving';
 	#hasJoined = false;
 
@@ -112,6 +121,9 @@
 		this.#options = options;
 		const {log, tables, store, protocol, bounds, ip, failureDomain} = options;
 		const origin = `${options.instance}~${Date.now().toString(36)}`;
+		this.#peersKnown = new Promise(resolve => {
+			this.#resolvePeersKnown = resolve;
+		});
 		this.#configuration = new ActiveConfiguration({
 			log, key: tables.configuration.key, decode: tables.configuration.decode,
 			onChange: routes => {
@@ -150,7 +162,7 @@
 			hasPeers: () => this.#peerMessenger.peerCount > 0,
 		});
 		const chooser = new EngineChooser({
-			placementCoordinator, log,
+			placementCoordinator, log, peersKnown: this.#peersKnown,
 			reservations: {
 				client: options.reservationClient, log, memoryReleaseTimeout: bounds.memoryReleaseTimeout, maximumReservationLifetime: bounds.maximumReservationLifetime,
 			},
@@ -236,8 +248,13 @@
 	/** Reads the addresses of the other instances if no seed has replied, then writes this instance's own for those that start later. */
 	async #join(): Promise<void> {
 		const {store, tables: {instances}, instance, ip, log} = this.#options;
-		await delay(seedReplyWait);
+		setTimeout(() => {
+			this.#resolvePeersKnown?.();
+		}, maximumPeerWait);
+		await this.#waitForReply();
 		const listedCount = this.#peerMessenger.peerCount === 0 ? await this.#contactStoredInstances() : 0;
+		await delay(placementReportWait);
+		this.#resolvePeersKnown?.();
 		await delay(maximumJoinDelay * Math.random());
 		while (!this.#hasJoined && this.#state === 'serving') {
 			try {
@@ -251,6 +268,13 @@
 		}
 	}
 
+	/** Waits until a seed has replied, or long enough for a reply. */
+	async #waitForReply(): Promise<void> {
+		for (let elapsed = 0; elapsed < seedReplyWait && this.#peerMessenger.peerCount === 0; elapsed += peerCheckInterval) {
+			await delay(peerCheckInterval); // eslint-disable-line no-await-in-loop
+		}
+	}
+
 	/** Contacts all instances that are listed in the store. @returns their number, 0 if the store cannot be read. */
 	async #contactStoredInstances(): Promise<number> {
 		const {store, tables: {instances}, log} = this.#options;
