fix(request): late outcomes don't count as a probe's, a dead worker is not the body's fault

- Circuit breaker: a request sent before the circuit opened closed it, or failed the probe, with its late outcome; the permission now carries the period in which it was given.
Where an attempt was permitted but not sent (beginAttempt threw), the probe's outcome was lost and callers were refused that upstream for 30 s.
- A worker thread that died amid a body gave 1001 for a truncated body; the caller now gets 5900, which says that the request has not run.
- A list read that ended after stop added clients that nothing closed.
- The interface for divided prompts had no implementation; it is taken out, and 3003 no longer tells callers to use it.

--- a/src/errors/catalogue.ts
+++ b/src/errors/catalogue.ts
@@ -79,7 +79,7 @@
 		status: 503, name: 'overloaded', ran: 'no', retryAfter: 1000, remedy: 'Ask again after the time given.',
 	},
 	3003: {
-		status: 413, name: 'does-not-fit', ran: 'no', remedy: 'Send a shorter prompt, or use a class that allows dividing.',
+		status: 413, name: 'does-not-fit', ran: 'no', remedy: 'Send a shorter prompt.',
 	},
 	3004: {
 		status: 503, name: 'deadline-unreachable', ran: 'no', retryAfter: 2000, remedy: 'Ask again after the time given or with a later deadline.',
--- a/src/request/prompt-reader.ts
+++ b/src/request/prompt-reader.ts
@@ -58,7 +58,7 @@
 	}
 
 	#moveToWorker(): void {
-		this.#workerBodyId = this.#reader.nextBodyId();
+		this.#workerBodyId = this.#reader.openBody();
 		for (const chunk of this.#chunks) {
 			this.#reader.post({kind: 'chunk', bodyId: this.#workerBodyId, chunk});
 		}
@@ -72,6 +72,8 @@
 /** Creates and summarizes incoming prompts. Owns the worker thread, which is started by the first large body. */
 export class PromptReader {
 	readonly #pending = new Map<number, PendingBody>();
+	/** Bodies that the worker thread is receiving. */
+	readonly #openBodies = new Set<number>();
 	#worker: Worker | undefined;
 	#lastBodyId = 0;
 
@@ -95,17 +97,30 @@
 	}
 
 	/** Returns an id for a new body in the worker thread. */
-	nextBodyId(): number {
+	openBody(): number {
 		this.#lastBodyId += 1;
+		this.#openBodies.add(this.#lastBodyId);
 		return this.#lastBodyId;
 	}
 
+	/** Sends a message about a body to the worker thread, unless that thread has died and the body with it. */
 	post(message: PromptWorkerRequest): void {
-		this.#worker ??= this.#startWorker();
-		this.#worker.postMessage(message);
+		if (this.#openBodies.has(message.bodyId)) {
+			this.#worker ??= this.#startWorker();
+			this.#worker.postMessage(message);
+		}
+
+		if (message.kind !== 'chunk') {
+			this.#openBodies.delete(message.bodyId);
+		}
 	}
 
+	/** @throws {CarobquayError} 5900 if the worker thread has died since the body was opened. */
 	async finish(bodyId: number): Promise<PromptSummary> {
+		if (!this.#openBodies.has(bodyId)) {
+			throw workerFailure(undefined);
+		}
+
 		return new Promise((resolve, reject) => {
 			this.#pending.set(bodyId, {resolve, reject});
 			this.post({kind: 'finish', bodyId});
@@ -136,10 +151,15 @@
 	/** Rejects all pending bodies; the next large body starts a new worker thread. */
 	#failPending(cause: unknown): void {
 		this.#worker = undefined;
+		this.#openBodies.clear();
 		const pending = [...this.#pending.values()];
 		this.#pending.clear();
 		for (const {reject} of pending) {
-			reject(new CarobquayError('5900', {message: 'the worker thread for large request bodies failed', ran: 'no', cause}));
+			reject(workerFailure(cause));
 		}
 	}
 }
+
+function workerFailure(cause: unknown): CarobquayError {
+	return new CarobquayError('5900', {message: 'the worker thread for large request bodies failed', ran: 'no', cause});
+}
--- a/src/request/prompt-runner.ts
+++ b/src/request/prompt-runner.ts
@@ -5,14 +5,14 @@
  * @module
  */
 import {CarobquayError, toCarobquayError} from '../errors/errors.js';
-import type {DivideDecision, RequestFacts, SendDecision} from '../routing/decision.js';
+import type {RequestFacts, SendDecision} from '../routing/decision.js';
 import type {Observation} from '../routing/observation.js';
 import type {EngineClient, EngineMessage, Usage} from '../upstream/engine.js';
 import type {AnswerSink} from './answer-sink.js';
 import {DeliveredText} from './delivered-text.js';
 import type {Dispatch, Dispatcher} from './dispatcher.js';
 import type {RequestLifecycle} from './request-lifecycle.js';
-import {type RetryPolicy, withExecutionStatus} from './retry-policy.js';
+import {type AttemptPermission, type RetryPolicy, withExecutionStatus} from './retry-policy.js';
 import type {SendPermit} from './send-permit.js';
 import {delayOrThrow, TimeLimit} from './time-limit.js';
 
@@ -34,15 +34,8 @@
 	owner: string;
 	/** Time in milliseconds for which an engine keeps a stream that has no reader before it frees it. */
 	orphanLifetime: number;
-	/** Runs a prompt that is to be divided; absent if this runner runs the parts of a divided prompt. */
-	divider?: PromptDivider;
 };
 
-/** Runs the parts of a divided prompt as separate requests. */
-export interface PromptDivider {
-	run(request: PromptRequest, plan: DivideDecision, sink: AnswerSink, signal: AbortSignal): Promise<void>;
-}
-
 /** A prompt to run. */
 export type PromptRequest = {
 	lifecycle: RequestLifecycle;
@@ -92,6 +85,7 @@
 	readonly #signal: AbortSignal;
 	readonly #deliveredText = new DeliveredText();
 	readonly #excludedUpstreams: string[] = [];
+	#permission: AttemptPermission | undefined;
 	#streamId: string | undefined;
 	#hasReceivedToken = false;
 	#usage: Usage | undefined;
@@ -114,9 +108,7 @@
 			});
 			this.#lifecycle.admit();
 			if ('kind' in dispatch) {
-				// eslint-disable-next-line no-await-in-loop
-				await this.#divide(dispatch);
-				return;
+				throw new CarobquayError('3003', {message: 'the prompt fits on no engine as a whole, and dividing it is not supported'});
 			}
 
 			// eslint-disable-next-line no-await-in-loop
@@ -124,17 +116,10 @@
 		}
 	}
 
-	async #divide(decision: DivideDecision): Promise<void> {
-		if (this.#options.divider === undefined) {
-			throw new CarobquayError('3003', {message: 'a part of a divided prompt does not fit on any engine'});
-		}
-
-		await this.#options.divider.run(this.#request, decision, this.#sink, this.#signal);
-	}
-
 	async #runAttempt({decision, reservationId}: Dispatch): Promise<AttemptResult> {
 		const {upstream} = decision;
 		const {requestId} = this.#lifecycle.metadata;
+		this.#permission = undefined;
 		this.#streamId = undefined;
 		this.#hasReceivedToken = false;
 		this.#usage = undefined;
@@ -146,7 +131,7 @@
 			}
 
 			await this.#request.permit?.acquire();
-			this.#options.retryPolicy.checkCircuitBreaker(upstream);
+			this.#permission = this.#options.retryPolicy.acquirePermission(upstream);
 			this.#options.retryPolicy.recordAttempt(this.#lifecycle, decision.pool);
 			attempt = this.#lifecycle.beginAttempt();
 			this.#observe({kind: 'sent', requestId, upstream});
@@ -206,7 +191,7 @@
 		for await (const message of messages) {
 			if (message.kind === 'accepted') {
 				this.#streamId = message.streamId;
-				this.#options.retryPolicy.recordSuccess(upstream);
+				this.#options.retryPolicy.recordSuccess(this.#permission!);
 			}
 
 			this.#lifecycle.beginStreaming();
@@ -275,8 +260,8 @@
 	 * @throws {CarobquayError} The failure, if no further attempt may be made.
 	 */
 	async #prepareNextAttempt({upstream, pool}: SendDecision, {failure, wasSent}: {failure: CarobquayError; wasSent: boolean}): Promise<void> {
-		if (wasSent) {
-			this.#options.retryPolicy.recordFailure(upstream, failure.code);
+		if (this.#permission) {
+			this.#options.retryPolicy.recordFailure(this.#permission, wasSent ? failure.code : undefined);
 		}
 
 		this.#excludedUpstreams.push(upstream);
--- a/src/request/retry-policy.ts
+++ b/src/request/retry-policy.ts
@@ -9,7 +9,7 @@
 import {match} from 'ts-pattern';
 import type {ErrorCode} from '../errors/catalogue.js';
 import {CarobquayError, toCarobquayError} from '../errors/errors.js';
-import {CircuitBreaker} from '../upstream/circuit-breaker.js';
+import {CircuitBreaker, type CircuitPermission} from '../upstream/circuit-breaker.js';
 import type {RequestLifecycle} from './request-lifecycle.js';
 import {RetryBudgets} from './retry-budget.js';
 import {delayOrThrow} from './time-limit.js';
@@ -37,20 +37,27 @@
 	upstreamsTried: number;
 };
 
+/** Permission of an upstream's circuit breaker to send one attempt. */
+export type AttemptPermission = {circuitBreaker: CircuitBreaker; permission: CircuitPermission};
+
 /** Retry budgets and circuit breakers of one instance. */
 export class RetryPolicy {
 	readonly #budgets = new RetryBudgets();
 	readonly #circuitBreakers = new Map<string, CircuitBreaker>();
 
 	/**
-	 * Checks the circuit breaker of an upstream before an attempt is sent.
+	 * Asks the circuit breaker of an upstream before an attempt is sent. The outcome of the attempt is recorded with the permission.
 	 *
 	 * @throws {CarobquayError} 4002 if the circuit is open; nothing is sent in that case.
 	 */
-	checkCircuitBreaker(upstream: string): void {
-		if (!this.#circuitBreakerOf(upstream).tryAcquirePermission(performance.now())) {
+	acquirePermission(upstream: string): AttemptPermission {
+		const circuitBreaker = this.#circuitBreakerOf(upstream);
+		const permission = circuitBreaker.tryAcquirePermission(performance.now());
+		if (!permission) {
 			throw new CarobquayError('4002', {message: `circuit breaker of upstream "${upstream}" is open after repeated failures`});
 		}
+
+		return {circuitBreaker, permission};
 	}
 
 	/** Records an attempt that is about to be sent; the first attempt of a request adds to its retry budget. */
@@ -61,19 +68,18 @@
 	}
 
 	/** Records that the upstream accepted the request. */
-	recordSuccess(upstream: string): void {
-		this.#circuitBreakerOf(upstream).recordSuccess();
+	recordSuccess({circuitBreaker, permission}: AttemptPermission): void {
+		circuitBreaker.recordSuccess(permission);
 	}
 
-	/** Records the failure of an attempt that the circuit breaker of the upstream had permitted. */
-	recordFailure(upstream: string, code: ErrorCode): void {
-		const circuitBreaker = this.#circuitBreakerOf(upstream);
+	/** Records the failure of a permitted attempt. @param code - Its error code; undefined if it was not sent. */
+	recordFailure({circuitBreaker, permission}: AttemptPermission, code: ErrorCode | undefined): void {
 		match(code)
 			.with('4002', '4003', '4004', () => {
-				circuitBreaker.recordFailure(performance.now());
+				circuitBreaker.recordFailure(permission, performance.now());
 			})
 			.otherwise(() => {
-				circuitBreaker.recordInconclusive(performance.now());
+				circuitBreaker.recordInconclusive(permission, performance.now());
 			});
 	}
 
--- a/src/request/service-runner.ts
+++ b/src/request/service-runner.ts
@@ -9,7 +9,7 @@
 import type {ServiceAnswer, ServiceClient, ServiceRequest} from '../upstream/service.js';
 import type {Dispatcher} from './dispatcher.js';
 import type {RequestLifecycle} from './request-lifecycle.js';
-import {type RetryPolicy, withExecutionStatus} from './retry-policy.js';
+import {type AttemptPermission, type RetryPolicy, withExecutionStatus} from './retry-policy.js';
 import type {SendPermit} from './send-permit.js';
 
 export type ServiceRunnerOptions = {
@@ -87,13 +87,14 @@
 		const {requestId, idempotencyKey} = lifecycle.metadata;
 		const client = this.#options.findService(upstream);
 		let attempt = 0;
+		let permission: AttemptPermission | undefined;
 		try {
 			if (client === undefined) {
 				throw new CarobquayError('4002', {message: `service instance "${upstream}" is no longer listed`});
 			}
 
 			await permit?.acquire();
-			this.#options.retryPolicy.checkCircuitBreaker(upstream);
+			permission = this.#options.retryPolicy.acquirePermission(upstream);
 			this.#options.retryPolicy.recordAttempt(lifecycle, pool);
 			attempt = lifecycle.beginAttempt();
 			this.#observe({kind: 'sent', requestId, upstream});
@@ -101,15 +102,15 @@
 				...call, requestId, attempt, timeRemaining: lifecycle.timeRemaining, idempotencyKey,
 			}, signal);
 			lifecycle.beginStreaming();
-			this.#options.retryPolicy.recordSuccess(upstream);
+			this.#options.retryPolicy.recordSuccess(permission);
 			this.#observe({
 				kind: 'ended', requestId, outcome: 'finished', usage: undefined,
 			});
 			return answer;
 		} catch (error) {
 			const failure = toCarobquayError(error, 'unknown');
-			if (attempt > 0) {
-				this.#options.retryPolicy.recordFailure(upstream, failure.code);
+			if (permission) {
+				this.#options.retryPolicy.recordFailure(permission, attempt > 0 ? failure.code : undefined);
 			}
 
 			if (attempt > 0 && failure.ran === 'no') {
--- a/src/upstream/circuit-breaker.ts
+++ b/src/upstream/circuit-breaker.ts
@@ -25,6 +25,9 @@
 
 export type CircuitState = 'closed' | 'open' | 'half-open';
 
+/** Permission to send one request. Its outcome counts only as long as the circuit is in the period in which it was given. */
+export type CircuitPermission = {period: number};
+
 /** Circuit breaker of one upstream. Times are in milliseconds on a monotonic clock. */
 export class CircuitBreaker {
 	readonly #random: () => number;
@@ -33,6 +36,8 @@
 	#openDuration = initialOpenDuration;
 	/** Time from which a request may probe, in the open and half-open states. */
 	#nextProbeAt = 0;
+	/** Number of the current period; a new one begins when the circuit opens and with each probe. */
+	#period = 0;
 
 	/** @param random - Returns a number from 0 (inclusive) to 1 (exclusive). */
 	constructor(random: () => number = Math.random) {
@@ -43,23 +48,34 @@
 		return this.#state;
 	}
 
-	/** Whether a request may be sent now. When the open duration has passed, one caller gets true and its request is the probe. */
-	tryAcquirePermission(now: number): boolean {
-		return match(this.#state)
-			.with('closed', () => true)
-			.with('open', 'half-open', () => now >= this.#nextProbeAt && this.#startProbe(now))
-			.exhaustive();
+	/** Permits a request to be sent now, or returns undefined. When the open duration has passed, one caller is permitted and its request is the probe. */
+	tryAcquirePermission(now: number): CircuitPermission | undefined {
+		if (this.#state !== 'closed') {
+			if (now < this.#nextProbeAt) {
+				return undefined;
+			}
+
+			this.#startProbe(now);
+		}
+
+		return {period: this.#period};
 	}
 
 	/** Records that the upstream accepted a request, and closes the circuit. */
-	recordSuccess(): void {
-		this.#state = 'closed';
-		this.#consecutiveFailures = 0;
-		this.#openDuration = initialOpenDuration;
+	recordSuccess({period}: CircuitPermission): void {
+		if (period === this.#period) {
+			this.#state = 'closed';
+			this.#consecutiveFailures = 0;
+			this.#openDuration = initialOpenDuration;
+		}
 	}
 
 	/** Records that the upstream was unreachable, broke the connection or did not answer in time. */
-	recordFailure(now: number): void {
+	recordFailure({period}: CircuitPermission, now: number): void {
+		if (period !== this.#period) {
+			return;
+		}
+
 		this.#consecutiveFailures += 1;
 		match(this.#state)
 			.with('closed', () => {
@@ -71,26 +87,27 @@
 				this.#openDuration = Math.min(maximumOpenDuration, this.#openDuration * openDurationMultiplier);
 				this.#open(now);
 			})
-			// The failed request was sent before the circuit opened, so it carries no new information.
+			// No request is permitted while the circuit is open, so that none of this period can fail.
 			.with('open', () => undefined)
 			.exhaustive();
 	}
 
-	/** Records an outcome that shows neither success nor failure of the upstream; the next request may probe at once. */
-	recordInconclusive(now: number): void {
-		if (this.#state === 'half-open') {
+	/** Records an outcome that shows neither success nor failure of the upstream, or that the request was not sent; the next request may probe at once. */
+	recordInconclusive({period}: CircuitPermission, now: number): void {
+		if (period === this.#period && this.#state === 'half-open') {
 			this.#nextProbeAt = now;
 		}
 	}
 
 	#open(now: number): void {
 		this.#state = 'open';
+		this.#period += 1;
 		this.#nextProbeAt = now + (this.#openDuration * (1 + (jitter * this.#random())));
 	}
 
-	#startProbe(now: number): boolean {
+	#startProbe(now: number): void {
 		this.#state = 'half-open';
+		this.#period += 1;
 		this.#nextProbeAt = now + probeTimeout;
-		return true;
 	}
 }
--- a/src/upstream/directory.ts
+++ b/src/upstream/directory.ts
@@ -189,6 +189,10 @@
 	async #readList(): Promise<void> {
 		try {
 			const snapshot = await this.#options.instances.read();
+			if (this.#stopped) {
+				return;
+			}
+
 			this.#options.listener.instanceListRead?.(snapshot, performance.now());
 			this.#options.sharing?.instanceListRead(snapshot.instances, snapshot.revision);
 			this.#applyList(snapshot.instances);
