fix(routing): refuse a queued prompt whose class or customer was removed; discard refused bodies

- drain threw for a removed class, so that no queued long prompt was decided any more; a removed customer's prompt stayed queued.
Both cases failed before.
- After a refused body its listener gathered the rest in memory; a header that cannot be parsed left the connection open without an answer and an unhandled rejection.

--- a/src/routing/__tests__/router.test.ts
+++ b/src/routing/__tests__/router.test.ts
@@ -168,6 +168,26 @@
 	t.deepEqual(router.drain(4000).map(({requestId, decision}) => [requestId, decision.kind]), [['b', 'send']]);
 });
 
+const removals: Array<{name: string; changed: Configuration}> = [
+	{name: 'class', changed: {...configuration, classes: new Map([...configuration.classes].filter(([name]) => name !== 'bundle'))}},
+	{name: 'customer', changed: {...configuration, customers: new Map()}},
+];
+
+for (const {name, changed} of removals) {
+	test(`a queued long prompt whose ${name} is removed is refused, and the others in the queue are decided`, t => {
+		const router = makeRouter([upstream('llm-1')]);
+		const longPrompt = (requestId: string) => facts({
+			requestId, requestClass: 'bundle', promptBytes: 900_000, deadline: 600_000,
+		});
+		router.decide(longPrompt('a'), 0);
+		router.handleReservationOutcome('a', {kind: 'reserved', expectedWait: 0}, 2);
+		router.decide(longPrompt('b'), 10);
+		router.setConfiguration({...changed, generation: 8}, 15);
+		t.deepEqual(router.drain(20).map(({requestId, decision}) => [requestId, outcomeOf(decision)]), [['b', 'refuse 3005']]);
+		t.deepEqual(router.drain(30), []);
+	});
+}
+
 test('after a refused reservation the prompt is sent to another engine or queued', t => {
 	const router = makeRouter(manyEngines);
 	router.decide(facts({requestClass: 'bundle', promptBytes: 900_000, deadline: 600_000}), 0);
--- a/src/routing/long-prompt-router.ts
+++ b/src/routing/long-prompt-router.ts
@@ -122,11 +122,12 @@
 			return undefined;
 		}
 
-		if (outcome.kind === 'reserved' && outcome.expectedWait <= maximumReservedWait) {
+		const assessed = this.#assessQueued(queued, now);
+		if (assessed && outcome.kind === 'reserved' && outcome.expectedWait <= maximumReservedWait) {
 			this.#queue.recordServed(queued);
 			this.#updateWaitCorrection(queued, now);
 			assigned.entry.sentAt = now;
-			return {...buildSendDecision(this.#assessQueued(queued, now), {engine: assignedEngine(assigned), assignedAt: now, reason: 'late-binding'}), isReservationRequired: false};
+			return {...buildSendDecision(assessed, {engine: assignedEngine(assigned), assignedAt: now, reason: 'late-binding'}), isReservationRequired: false};
 		}
 
 		this.#fleet.unassign(requestId);
@@ -204,17 +205,22 @@
 		return Math.max(shortestWait, pending / Math.max(1, end - first));
 	}
 
-	#assessQueued({facts}: QueuedRequest, now: number): AssessedPrompt {
+	/** Assesses a queued prompt again; undefined if its class or its customer has been removed since. */
+	#assessQueued({facts}: QueuedRequest, now: number): AssessedPrompt | undefined {
 		const {classes, customers} = this.#fleet.configuration;
-		return assessPrompt(this.#fleet, facts, {
-			requestClass: classes.get(facts.requestClass)!, customer: customers.get(facts.customer)!, hasQueuedLongPrompts: pool => this.hasQueuedPrompts(pool, now),
-		});
+		const [requestClass, customer] = [classes.get(facts.requestClass), customers.get(facts.customer)];
+		return requestClass && customer && assessPrompt(this.#fleet, facts, {requestClass, customer, hasQueuedLongPrompts: pool => this.hasQueuedPrompts(pool, now)});
 	}
 
 	/** Sends a queued prompt if an engine is available, or refuses it if its deadline can no longer be met. */
 	#decideQueued(queued: QueuedRequest, now: number): SendDecision | RefuseDecision | undefined {
 		const {facts} = queued;
 		const assessed = this.#assessQueued(queued, now);
+		if (!assessed) {
+			this.#queue.remove(facts.requestId);
+			return refuse('3005', undefined, `class "${facts.requestClass}" or customer "${facts.customer}" is no longer declared`);
+		}
+
 		const pool = this.#fleet.pools.get(queued.poolName);
 		if (!pool || now > queued.latestStart) {
 			this.#queue.remove(facts.requestId);
--- a/src/serving/admission.ts
+++ b/src/serving/admission.ts
@@ -73,9 +73,12 @@
 		response.once('close', () => {
 			this.#activeRequestCount -= 1;
 		});
-		const headerValues = this.#options.protocol.parseRequestHeaders(request.headers);
-		const answer = new CallerResponse(response, headerValues.requestId, () => this.#options.state() !== 'serving');
+		let requestId: string | undefined;
+		let answer: CallerResponse | undefined;
 		try {
+			const headerValues = this.#options.protocol.parseRequestHeaders(request.headers);
+			({requestId} = headerValues);
+			answer = new CallerResponse(response, requestId, () => this.#options.state() !== 'serving');
 			const admission = this.#admit(request, headerValues);
 			if ('code' in admission) {
 				this.#reject(answer, headerValues, request, admission);
@@ -92,8 +95,8 @@
 				request, response, answer, headerValues, arrivedAt,
 			}, admission, body);
 		} catch (error) {
-			this.#options.log.error('request.unexpected', {request: headerValues.requestId, reason: errorMessage(error)});
-			answer.destroy();
+			this.#options.log.error('request.unexpected', {request: requestId, reason: errorMessage(error)});
+			(answer ?? response).destroy();
 		}
 	}
 
@@ -144,24 +147,29 @@
 		return new Promise(resolve => {
 			const chunks: Uint8Array[] = [];
 			let size = 0;
-			const timer = setTimeout(() => {
-				resolve({code: '1012', reason: 'the body was not received within the timeout of the request'});
-			}, Math.max(0, timeout));
-			request.on('data', (chunk: Uint8Array) => {
+			const settle = (outcome: Uint8Array | Rejection) => {
+				clearTimeout(timer);
+				request.off('data', receive);
+				resolve(outcome);
+			};
+
+			const receive = (chunk: Uint8Array) => {
 				chunks.push(chunk);
 				size += chunk.length;
 				if (size > maximumBodyBytes) {
-					clearTimeout(timer);
-					resolve({code: '1003', reason: `body exceeds the limit of ${maximumBodyBytes} bytes`});
+					settle({code: '1003', reason: `body exceeds the limit of ${maximumBodyBytes} bytes`});
 				}
-			});
+			};
+
+			const timer = setTimeout(() => {
+				settle({code: '1012', reason: 'the body was not received within the timeout of the request'});
+			}, Math.max(0, timeout));
+			request.on('data', receive);
 			request.once('end', () => {
-				clearTimeout(timer);
-				resolve(Buffer.concat(chunks));
+				settle(Buffer.concat(chunks));
 			});
 			request.once('error', error => {
-				clearTimeout(timer);
-				resolve({code: '1012', reason: `receiving the body failed: ${error.message}`});
+				settle({code: '1012', reason: `receiving the body failed: ${error.message}`});
 			});
 		});
 	}
