--- a/bench/placement/load.ts
+++ b/bench/placement/load.ts
@@ -52,6 +52,10 @@
 	...cost, slots: 8, kvCacheTokens: 267_750, stepsPerIteration: 57,
 };
 
+const largeCost: EngineProfile = {
+	...cost, slots: 7, stepsPerIteration: 80,
+};
+
 const short: PromptKind = {
 	name: 'short', rate: 20, tokens: {mean: 5000, spread: 0.9, max: 23_800}, events: {mean: 33, spread: 0.7, max: 82},
 	latencyTarget: 300, eventGapTarget: 250, deadline: 10_000, worth: 1.3, lateWorth: 0.33,
@@ -67,8 +71,20 @@
 	latencyTarget: 3000, eventGapTarget: 1000, deadline: 15_000, worth: 21, lateWorth: 5.2,
 };
 
+const largeKinds: readonly PromptKind[] = [
+	{
+		...short, rate: 108, events: {mean: 24, spread: 0.7, max: 60}, latencyTarget: 409, eventGapTarget: 300,
+	},
+	{
+		...medium, rate: 7.92, events: {mean: 14, spread: 0.6, max: 35}, eventGapTarget: 800, worth: 3.1, lateWorth: 0.78,
+	},
+	{
+		...long, rate: 2.63, tokens: {mean: 220_000, spread: 0.55, max: 700_000}, events: {mean: 12, spread: 0.5, max: 30}, latencyTarget: 4024, eventGapTarget: 1200, worth: 26, lateWorth: 6.5,
+	},
+];
+
 /** The users' deployments, with the figures of their sheets. */
-export const deployments: Readonly<Record<'veli-randevu' | 'kohtulugu' | 'veli-randevu-grown' | 'kohtulugu-grown', Deployment>> = {
+export const deployments: Readonly<Record<'veli-randevu' | 'kohtulugu' | 'veli-randevu-grown' | 'kohtulugu-grown' | 'swapling' | 'swapling-grown' | 'veli-randevu-large', Deployment>> = {
 	'veli-randevu': {
 		name: 'veli-randevu', engines: 14, cost, kinds: [short, medium, long],
 	},
@@ -81,6 +97,15 @@
 	'kohtulugu-grown': {
 		name: 'kohtulugu-grown', engines: 60, cost: grownCost, kinds: grownKinds([67.7, 4.29, 1.84]),
 	},
+	swapling: {
+		name: 'swapling', engines: 16, cost, kinds: [{...short, rate: 22.9}, {...medium, rate: 1.16}, {...long, rate: 0.7}],
+	},
+	'swapling-grown': {
+		name: 'swapling-grown', engines: 54, cost: grownCost, kinds: grownKinds([60.9, 3.87, 1.66]),
+	},
+	'veli-randevu-large': {
+		name: 'veli-randevu-large', engines: 112, cost: largeCost, kinds: largeKinds,
+	},
 };
 
 function grownKinds([shorts, mediums, longs]: readonly [number, number, number]): PromptKind[] {
--- a/bench/placement/simulation.ts
+++ b/bench/placement/simulation.ts
@@ -45,12 +45,17 @@
 	 * @default 1 for all
 	 */
 	pace?: (engine: number, now: number) => number;
+	/** Times at which all instances die, with the time until they are back; every request in flight is lost and comes back then. */
+	restarts?: readonly Restart[];
 };
 
+/** Death of all instances. Times in milliseconds. */
+export type Restart = {at: number; downTime: number};
+
 type Outcome = {request: LoadRequest; credit: number; owed: number; kind: 'onTime' | 'late' | 'refused' | 'lost'};
 
 /** Runs a load to its end. */
-export function simulate({deployment, load, pace = () => 1}: SimulationOptions): SimulationResult {
+export function simulate({deployment, load, pace = () => 1, restarts = []}: SimulationOptions): SimulationResult {
 	const queue = new EventQueue();
 	const book = new LoadTracker();
 	const records = Array.from({length: deployment.engines}, (_, index): EngineRecord => ({
@@ -59,17 +64,33 @@
 	}));
 	const engines = new Map(records.map((record, index) => [record.id, new EngineModel(queue, deployment.cost, () => pace(index, queue.now))]));
 	const outcomes: Outcome[] = [];
+	const runs = new Set<RequestRun>();
+	const upAgainAt = (now: number) => {
+		const restart = restarts.find(({at, downTime}) => now >= at && now < at + downTime);
+		return restart ? restart.at + restart.downTime : now;
+	};
+
 	for (const request of load) {
-		queue.at(request.at, () => {
+		queue.at(upAgainAt(request.at), () => {
 			const run = new RequestRun({
-				request, deployment, queue, book, records, engines,
+				request, deployment, queue, book, records, engines, upAgainAt,
 			}, outcome => {
 				outcomes.push(outcome);
+				runs.delete(run);
 			});
+			runs.add(run);
 			run.start();
 		});
 	}
 
+	for (const {at} of restarts) {
+		queue.at(at, () => {
+			for (const run of runs) {
+				run.interrupt();
+			}
+		});
+	}
+
 	queue.run(Number.POSITIVE_INFINITY, () => false);
 	return summarize(outcomes, deployment);
 }
@@ -81,6 +102,8 @@
 	book: LoadTracker;
 	records: readonly EngineRecord[];
 	engines: ReadonlyMap<string, EngineModel>;
+	/** The time itself, or the end of the restart that it falls into. */
+	upAgainAt: (now: number) => number;
 };
 
 /** One request from its arrival to its end. */
@@ -92,6 +115,8 @@
 	#events = 0;
 	#isOver = false;
 	#tries = 0;
+	/** Ends the attempt under way. */
+	#cancelAttempt: (() => void) | undefined;
 
 	constructor(options: RunOptions, done: (outcome: Outcome) => void) {
 		this.#options = options;
@@ -103,6 +128,13 @@
 		const {request, deployment, queue, book, records} = this.#options;
 		const {at, kind, tokens, hint} = request;
 		const {now} = queue;
+		if (this.#options.upAgainAt(now) > now) {
+			queue.at(this.#options.upAgainAt(now), () => {
+				this.start();
+			});
+			return;
+		}
+
 		const candidates = records.map((record): PromptCandidate => ({
 			record, load: book.snapshot(record.id, now), slowdown: 1, isCoolingDown: false, position: hashPosition(record.id),
 		}));
@@ -129,11 +161,20 @@
 			tokensLeft: request.answerTokens, isCancelled: false,
 			onEvent: isLast => {
 				queue.after(wayTime, () => {
-					this.#event(key, isLast);
+					this.#event(model, key, isLast);
 				});
 			},
 		};
+		this.#cancelAttempt = () => {
+			model.isCancelled = true;
+			book.remove(key, queue.now);
+		};
+
 		queue.after(decision.holdTime + wayTime, () => {
+			if (model.isCancelled) {
+				return;
+			}
+
 			const taken = used.map((record, index) => this.#options.engines.get(record.id)!.add(model, index === 0));
 			if (taken.includes(false)) {
 				model.isCancelled = true;
@@ -144,6 +185,16 @@
 		this.#watch(model, key);
 	}
 
+	/** The instance died: what it had sent is cancelled, and the caller comes back when the instances are up again. */
+	interrupt(): void {
+		if (!this.#isOver) {
+			this.#cancelAttempt?.();
+			this.#cancelAttempt = undefined;
+			this.#events = 0;
+			this.#turnAway(0);
+		}
+	}
+
 	/** Callers come back once. */
 	#turnAway(retryAfter: number): void {
 		this.#tries += 1;
@@ -158,8 +209,8 @@
 		});
 	}
 
-	#event(key: string, isLast: boolean): void {
-		if (this.#isOver) {
+	#event(model: ModelRequest, key: string, isLast: boolean): void {
+		if (this.#isOver || model.isCancelled) {
 			return;
 		}
 
