feat(serving): callers refused in one burst are told to come back at different times

Cause: Retry-After was the same factor of the target for all, so that all who were refused in a burst came back together. Change: it is shortened at random by up to a quarter. The test failed before: one time for ten callers.

--- a/src/serving/__tests__/engine-chooser.test.ts
+++ b/src/serving/__tests__/engine-chooser.test.ts
@@ -150,3 +150,26 @@
 	t.is(placedAt.length, 3);
 	t.is(new Set(placedAt).size, 3);
 });
+
+test.serial('callers that are refused in the same burst are told to come back at different times', async t => {
+	const clock = fakeTimers.install({toFake: ['performance', 'setTimeout', 'clearTimeout']});
+	t.teardown(() => {
+		clock.uninstall();
+	});
+	let draws = 0;
+	const {chooser} = createBusyChooser(Promise.resolve(), () => (draws++ % 10) / 10);
+	const retryTimes = new Set<number>();
+	for (let number = 0; number < 10; number++) {
+		const choice = chooser.choose({
+			...input, requestId: `r${number}`, route: {...input.route, latencyTarget: 300}, headerValues: {...input.headerValues, promptTokens: 1000},
+		});
+		await clock.tickAsync(200); // eslint-disable-line no-await-in-loop
+		const result = await choice; // eslint-disable-line no-await-in-loop
+		if (result.kind === 'refused') {
+			retryTimes.add(Math.round(result.retryAfter));
+		}
+	}
+
+	t.true(retryTimes.size >= 5, `${retryTimes.size} different times`);
+	t.true(Math.max(...retryTimes) <= input.remaining / 3);
+});
--- a/src/serving/engine-chooser.ts
+++ b/src/serving/engine-chooser.ts
@@ -89,6 +89,9 @@
 /** Placements tried for a prompt before it is refused; one fails if an engine has no memory to reserve or stops being ready. */
 const maximumPlacementAttempts = 4;
 
+/** Share by which the Retry-After of a refused prompt is shortened at random, so that the callers refused in one burst don't return together. */
+const retryAfterSpread = 0.25;
+
 /** Retry-After in milliseconds if no engine is available; engines write their entries about once a second. */
 const noEngineRetryAfter = 500;
 
@@ -126,10 +129,12 @@
 /** Chooses engines for requests. */
 export class EngineChooser {
 	readonly #options: EngineChooserOptions;
+	readonly #random: () => number;
 	#arePeersKnown = false;
 
 	constructor(options: EngineChooserOptions) {
 		this.#options = options;
+		this.#random = options.random ?? Math.random;
 	}
 
 	async choose(input: EngineChoiceInput): Promise<EngineChoiceResult> {
@@ -197,7 +202,7 @@
 			this.#logDecision(input, promptTokens, decision);
 			if (decision.kind === 'refuse') {
 				return {
-					kind: 'refused', code: refusalCodes[decision.reason], reason: decision.reason, retryAfter: decision.retryAfter, isTransient: decision.reason !== 'too-late',
+					kind: 'refused', code: refusalCodes[decision.reason], reason: decision.reason, retryAfter: decision.retryAfter * (1 - (retryAfterSpread * this.#random())), isTransient: decision.reason !== 'too-late',
 				};
 			}
 
@@ -241,7 +246,7 @@
 		if (!this.#arePeersKnown) {
 			await this.#options.peersKnown;
 			this.#arePeersKnown = true;
-			await delay((this.#options.random ?? Math.random)() * maximumStartDelay, signal);
+			await delay(this.#random() * maximumStartDelay, signal);
 		}
 	}
 
