--- a/src/placement/load-tracker.ts
+++ b/src/placement/load-tracker.ts
@@ -71,10 +71,6 @@
 	readonly #entries = new Map<string, TrackedAssignment>();
 	#prefillEndsAt = 0;
 
-	get isEmpty(): boolean {
-		return this.#entries.size === 0;
-	}
-
 	add(placement: Placement, assignment: EngineAssignment, now: number): void {
 		this.#prefillEndsAt = Math.max(now, placement.startsAt, this.#prefillEndsAt) + assignment.prefillTime;
 		this.#entries.set(placement.key, {
--- a/src/serving/caller-response.ts
+++ b/src/serving/caller-response.ts
@@ -34,10 +34,6 @@
 		return this.#response.headersSent;
 	}
 
-	get isEnded(): boolean {
-		return this.#isEnded;
-	}
-
 	/** Sends a complete response of an engine. */
 	send(status: number, headers: string[], body: Uint8Array): void {
 		if (this.#tryEnd()) {
