fix(serving): an answer that has arrived counts before the timer of inactivity

Cause: after a freeze, or while the event loop stood still, the runtime calls due timers before it reads its sockets, so that an engine counted as idle although its answer had arrived: callers' requests were sent to a second engine beside the first, and on the own interface they failed with 4004. The contract test of the service client failed in this way on a busy machine. Change: InputTimer lets the sockets be read first. Its test failed with a plain timer.

--- a/src/serving/engine-attempt.ts
+++ b/src/serving/engine-attempt.ts
@@ -5,6 +5,7 @@
  */
 import {Buffer} from 'node:buffer';
 import {performance} from 'node:perf_hooks';
+import {InputTimer} from '../upstream/input-timer.js';
 import type {CallerResponse} from './caller-response.js';
 import {EventSplitter, type StreamEvent} from './event-splitter.js';
 import {
@@ -66,7 +67,7 @@
 	readonly #options: EngineAttemptOptions;
 	readonly #exchange: HttpExchange;
 	readonly #splitter = new EventSplitter();
-	#idleTimer: NodeJS.Timeout | undefined;
+	readonly #idleTimer = new InputTimer();
 	#responseHead: ResponseHead | undefined;
 	#headerValues: ResponseHeaderValues | undefined;
 	readonly #bufferedChunks: Uint8Array[] = [];
@@ -108,13 +109,13 @@
 
 	/** Calls `onIdle` after each timeout until it is restarted or the attempt ends. */
 	#restartIdleTimer(currentTimeout: () => number): void {
-		clearTimeout(this.#idleTimer);
+		this.#idleTimer.stop();
 		const timeout = currentTimeout();
 		if (Number.isFinite(timeout)) {
-			this.#idleTimer = setTimeout(() => {
+			this.#idleTimer.start(timeout, () => {
 				this.#restartIdleTimer(currentTimeout);
 				this.#options.listener.onIdle(timeout);
-			}, timeout);
+			});
 		}
 	}
 
@@ -246,7 +247,7 @@
 		}
 
 		this.#isEnded = true;
-		clearTimeout(this.#idleTimer);
+		this.#idleTimer.stop();
 		this.#exchange.abort();
 		this.#options.listener.onEnd(outcome);
 	}
--- a/src/serving/engine-chooser.ts
+++ b/src/serving/engine-chooser.ts
@@ -201,8 +201,10 @@
 			const decision = placementCoordinator.decidePromptPlacement(service, profile, requirements, excluded);
 			this.#logDecision(input, promptTokens, decision);
 			if (decision.kind === 'refuse') {
+				const {reason} = decision;
+				const retryAfter = decision.retryAfter * (1 - (retryAfterSpread * this.#random()));
 				return {
-					kind: 'refused', code: refusalCodes[decision.reason], reason: decision.reason, retryAfter: decision.retryAfter * (1 - (retryAfterSpread * this.#random())), isTransient: decision.reason !== 'too-late',
+					kind: 'refused', code: refusalCodes[reason], reason, retryAfter, isTransient: reason !== 'too-late',
 				};
 			}
 
--- a/src/upstream/http-upstream.ts
+++ b/src/upstream/http-upstream.ts
@@ -7,6 +7,7 @@
 import {Readable} from 'node:stream';
 import {type Dispatcher, Pool} from 'undici';
 import {CarobquayError, errorMessage} from '../errors/errors.js';
+import {InputTimer} from './input-timer.js';
 
 /** Codes of errors that occur before the first byte of a request is sent, so that the request cannot have run. */
 const connectErrorCodes: ReadonlySet<string> = new Set([
@@ -34,7 +35,7 @@
 /** Aborts a signal when the timer is not restarted within the timeout. */
 export class InactivityTimer {
 	readonly #controller = new AbortController();
-	readonly #timer: NodeJS.Timeout;
+	readonly #timer = new InputTimer();
 	readonly #timeout: number;
 	#isStopped = false;
 	#isPaused = false;
@@ -42,11 +43,7 @@
 	/** @param timeout - Longest time in milliseconds between restarts. */
 	constructor(timeout: number) {
 		this.#timeout = timeout;
-		this.#timer = setTimeout(() => {
-			if (!this.#isPaused) {
-				this.#controller.abort();
-			}
-		}, timeout);
+		this.#start();
 	}
 
 	get timeout(): number {
@@ -70,14 +67,22 @@
 	restart(): void {
 		this.#isPaused = false;
 		if (!this.#isStopped && !this.hasExpired) {
-			this.#timer.refresh();
+			this.#start();
 		}
 	}
 
 	/** Stops the timer for good; an expired timer stays expired. */
 	stop(): void {
 		this.#isStopped = true;
-		clearTimeout(this.#timer);
+		this.#timer.stop();
+	}
+
+	#start(): void {
+		this.#timer.start(this.#timeout, () => {
+			if (!this.#isPaused) {
+				this.#controller.abort();
+			}
+		});
 	}
 }
 
