--- a/src/peers/peer-membership.ts
+++ b/src/peers/peer-membership.ts
@@ -152,6 +152,34 @@
 
 	/** Marks the peers that have fallen silent and forgets those that have been silent for long. */
 	checkSilence(now: number): SilenceCheck {
+		this.#updateMonitoredPeers(now);
+		const rotationTime = heartbeatInterval * Math.ceil(this.#peers.size / rotatingPeersPerHeartbeat);
+		const monitoredFor = ({ip}: Peer) => now - (this.#monitoredSince.get(ip) ?? now);
+		const silence = ({lastMessageAt}: Peer) => now - lastMessageAt;
+		const silent = this.alive.filter(peer => (silence(peer) > silenceTimeout && monitoredFor(peer) >= probeTimeout)
+			|| silence(peer) > rotationTime * rotationsUntilSilent);
+		const reported = this.alive.filter(peer => !silent.includes(peer) && this.#reportedAt.has(peer.origin) && silence(peer) > silenceTimeout);
+		this.#markSilent([...silent, ...reported]);
+		this.#removeOldReports(now);
+		return {
+			silent,
+			reported,
+			suspects: this.alive.filter(peer => this.#monitoredSince.has(peer.ip) && silence(peer) >= probeTimeout).map(({ip}) => ip),
+			gone: this.#removeGonePeers(now),
+			isIsolated: now - this.#lastMessageAt > isolationTimeout,
+		};
+	}
+
+	/** Records another instance's report that a process is silent; it takes effect at a check, unless the process is heard of before. */
+	recordReport({ip, origin}: SilentPeer, now: number): void {
+		const peer = this.#peers.get(ip);
+		if (peer?.origin === origin && !peer.isSilent) {
+			this.#reportedAt.set(origin, now);
+		}
+	}
+
+	/** Starts the time of monitoring for new predecessors on the ring and ends it for those that no longer are. */
+	#updateMonitoredPeers(now: number): void {
 		const predecessors = new Set(this.#neighbours(-1));
 		for (const ip of this.#monitoredSince.keys()) {
 			if (!predecessors.has(ip)) {
@@ -164,45 +192,31 @@
 				this.#monitoredSince.set(ip, now);
 			}
 		}
+	}
 
-		const rotationTime = heartbeatInterval * Math.ceil(this.#peers.size / rotatingPeersPerHeartbeat);
-		const monitoredFor = ({ip}: Peer) => now - (this.#monitoredSince.get(ip) ?? now);
-		const silence = ({lastMessageAt}: Peer) => now - lastMessageAt;
-		const silent = this.alive.filter(peer => (silence(peer) > silenceTimeout && monitoredFor(peer) >= probeTimeout)
-			|| silence(peer) > rotationTime * rotationsUntilSilent);
-		const gone = [...this.#peers.values()].filter(({isSilent, lastMessageAt}) => isSilent && now - lastMessageAt > silenceUntilGone);
-		const reported = this.alive.filter(peer => !silent.includes(peer) && this.#reportedAt.has(peer.origin) && now - peer.lastMessageAt > silenceTimeout);
-		for (const peer of [...silent, ...reported]) {
+	#markSilent(peers: readonly Peer[]): void {
+		for (const peer of peers) {
 			peer.isSilent = true;
 			this.#reportedAt.delete(peer.origin);
-		}
-
-		for (const {ip} of gone) {
-			this.#peers.delete(ip);
-		}
-
-		if (silent.length + reported.length > 0) {
 			this.#ring = undefined;
 		}
+	}
 
+	#removeOldReports(now: number): void {
 		for (const [origin, reportedAt] of this.#reportedAt) {
 			if (now - reportedAt > reportLifetime) {
 				this.#reportedAt.delete(origin);
 			}
 		}
-
-		const suspects = this.alive.filter(peer => predecessors.has(peer.ip) && silence(peer) >= probeTimeout).map(({ip}) => ip);
-		return {
-			silent, reported, suspects, gone, isIsolated: now - this.#lastMessageAt > isolationTimeout,
-		};
 	}
 
-	/** Records another instance's report that a process is silent; it takes effect at a check, unless the process is heard of before. */
-	recordReport({ip, origin}: SilentPeer, now: number): void {
-		const peer = this.#peers.get(ip);
-		if (peer?.origin === origin && !peer.isSilent) {
-			this.#reportedAt.set(origin, now);
+	#removeGonePeers(now: number): Peer[] {
+		const gone = [...this.#peers.values()].filter(({isSilent, lastMessageAt}) => isSilent && now - lastMessageAt > silenceUntilGone);
+		for (const {ip} of gone) {
+			this.#peers.delete(ip);
 		}
+
+		return gone;
 	}
 
 	/** The next live instances on the ring in a direction: successors monitor this one, it monitors its predecessors. */
