feat(placement): wider subsets where few instances share an engine

Change: at least 56 instances share an engine, 24 before. At 195 instances and 112 engines the subsets stay as they were; at 71 and 60 they hold 47.

--- a/src/placement/engine-subsetting.ts
+++ b/src/placement/engine-subsetting.ts
@@ -14,11 +14,11 @@
 import type {Placement} from './load-tracker.js';
 import type {EngineSource} from './placement-coordinator.js';
 
-/** Engines that an instance places prompts on; a prompt's prefill is split between up to 17 of them. */
+/** Least number of engines that an instance places prompts on; a prompt's prefill is split between up to 17 of them. */
 const enginesPerInstance = 32;
 
-/** Least number of instances that place prompts on one engine, so that the loss of some leaves no engine idle. */
-const instancesPerEngine = 24;
+/** Least number of instances that place prompts on one engine; each of them costs a datagram for each placement, and the more there are, the more evenly engines fill. */
+const instancesPerEngine = 56;
 
 /** Largest fleet in which all instances hear of requests without a prompt; beyond it, each one learns too little of them to choose by. */
 const maximumFleetWithServiceNews = 32;
