--- a/bench/placement/simulation.ts
+++ b/bench/placement/simulation.ts
@@ -65,15 +65,15 @@
 	const engines = new Map(records.map((record, index) => [record.id, new EngineModel(queue, deployment.cost, () => pace(index, queue.now))]));
 	const outcomes: Outcome[] = [];
 	const runs = new Set<RequestRun>();
-	const upAgainAt = (now: number) => {
+	const availableAt = (now: number) => {
 		const restart = restarts.find(({at, downTime}) => now >= at && now < at + downTime);
 		return restart ? restart.at + restart.downTime : now;
 	};
 
 	for (const request of load) {
-		queue.at(upAgainAt(request.at), () => {
+		queue.at(availableAt(request.at), () => {
 			const run = new RequestRun({
-				request, deployment, queue, book, records, engines, upAgainAt,
+				request, deployment, queue, book, records, engines, availableAt,
 			}, outcome => {
 				outcomes.push(outcome);
 				runs.delete(run);
@@ -103,7 +103,7 @@
 	records: readonly EngineRecord[];
 	engines: ReadonlyMap<string, EngineModel>;
 	/** The time itself, or the end of the restart that it falls into. */
-	upAgainAt: (now: number) => number;
+	availableAt: (now: number) => number;
 };
 
 /** One request from its arrival to its end. */
@@ -128,8 +128,8 @@
 		const {request, deployment, queue, book, records} = this.#options;
 		const {at, kind, tokens, hint} = request;
 		const {now} = queue;
-		if (this.#options.upAgainAt(now) > now) {
-			queue.at(this.#options.upAgainAt(now), () => {
+		if (this.#options.availableAt(now) > now) {
+			queue.at(this.#options.availableAt(now), () => {
 				this.start();
 			});
 			return;
--- a/src/placement/engine-subsetting.ts
+++ b/src/placement/engine-subsetting.ts
@@ -27,7 +27,7 @@
 const ringTolerance = 2;
 
 /** Members of the fleet as one instance sees them. */
-export type FleetView = {
+export type RingMembers = {
 	/** IP address of this instance. */
 	ownIp: string;
 	/** IP addresses of the live instances, this one included, in the order of the ring; a new list after each change. */
@@ -53,11 +53,11 @@
 
 /** Subsets of one instance. */
 export class EngineSubsetting {
-	readonly #fleet: FleetView;
+	readonly #members: RingMembers;
 	readonly #rings = new Map<string, ServiceRing>();
 
-	constructor(fleet: FleetView) {
-		this.#fleet = fleet;
+	constructor(members: RingMembers) {
+		this.#members = members;
 	}
 
 	/** Ready engines that this instance places prompts on. */
@@ -77,12 +77,12 @@
 			return this.subscribers(assignments.map(({engineId}) => engineId));
 		}
 
-		return this.#fleet.instances().length > maximumFleetWithServiceNews ? [] : this.subscribers(assignments.map(({engineId}) => engineId));
+		return this.#members.instances().length > maximumFleetWithServiceNews ? [] : this.subscribers(assignments.map(({engineId}) => engineId));
 	}
 
 	#ring(service: string): ServiceRing {
-		const ready = this.#fleet.engines.ready(service);
-		const instances = this.#fleet.instances();
+		const ready = this.#members.engines.ready(service);
+		const instances = this.#members.instances();
 		const known = this.#rings.get(service);
 		if (known?.ready === ready && known.instances === instances) {
 			return known;
@@ -97,7 +97,7 @@
 		const windowRadius = Math.max(enginesPerInstance / ready.length, instancesPerEngine / instances.length) / 2;
 		const ordered = sortOnRing(ready.map(({id}) => id));
 		const positions = new Map(ordered.map((id, index) => [id, (index + 0.5) / ordered.length]));
-		const ownPosition = (Math.max(0, instances.indexOf(this.#fleet.ownIp)) + 0.5) / instances.length;
+		const ownPosition = (Math.max(0, instances.indexOf(this.#members.ownIp)) + 0.5) / instances.length;
 		return {
 			ready, instances, positions, windowRadius, subscribers: new Map(),
 			subset: windowRadius >= 0.5 ? ready : ready.filter(({id}) => ringDistance(positions.get(id)!, ownPosition) <= windowRadius),
@@ -105,14 +105,14 @@
 	}
 
 	#subscribersOf(engineId: string): readonly string[] {
-		const {instances, positions, windowRadius, subscribers} = this.#ring(this.#fleet.engines.get(engineId)?.service ?? '');
+		const {instances, positions, windowRadius, subscribers} = this.#ring(this.#members.engines.get(engineId)?.service ?? '');
 		let result = subscribers.get(engineId);
 		if (!result) {
 			const position = positions.get(engineId);
 			const radius = windowRadius + (ringTolerance / instances.length);
 			const isSubscriber = (index: number) => radius >= 0.5
 				|| (position !== undefined && ringDistance((index + 0.5) / instances.length, position) <= radius);
-			result = instances.filter((ip, index) => ip !== this.#fleet.ownIp && isSubscriber(index));
+			result = instances.filter((ip, index) => ip !== this.#members.ownIp && isSubscriber(index));
 			subscribers.set(engineId, result);
 		}
 
--- a/src/serving/engine-attempt.ts
+++ b/src/serving/engine-attempt.ts
@@ -5,7 +5,7 @@
  */
 import {Buffer} from 'node:buffer';
 import {performance} from 'node:perf_hooks';
-import {InputTimer} from '../upstream/input-timer.js';
+import {InputFirstTimer} from '../upstream/input-first-timer.js';
 import type {CallerResponse} from './caller-response.js';
 import {EventSplitter, type StreamEvent} from './event-splitter.js';
 import {
@@ -67,7 +67,7 @@
 	readonly #options: EngineAttemptOptions;
 	readonly #exchange: HttpExchange;
 	readonly #splitter = new EventSplitter();
-	readonly #idleTimer = new InputTimer();
+	readonly #idleTimer = new InputFirstTimer();
 	#responseHead: ResponseHead | undefined;
 	#headerValues: ResponseHeaderValues | undefined;
 	readonly #bufferedChunks: Uint8Array[] = [];
--- a/src/upstream/__tests__/input-timer.test.ts
+++ b/src/upstream/__tests__/input-first-timer.test.ts
@@ -1,7 +1,7 @@
 import net, {type AddressInfo} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import test from 'ava';
-import {InputTimer} from '../input-timer.js';
+import {InputFirstTimer} from '../input-first-timer.js';
 
 /** Keeps the event loop of this process from running, as a freeze of the machine does. */
 function standStill(milliseconds: number): void {
@@ -28,7 +28,7 @@
 		server.close();
 	});
 	const events: string[] = [];
-	const timer = new InputTimer();
+	const timer = new InputFirstTimer();
 	await new Promise<void>(resolve => {
 		client.on('data', () => {
 			events.push('data');
@@ -48,7 +48,7 @@
 
 test.serial('the timer calls back once where nothing arrives, and not after it was stopped', async t => {
 	let calls = 0;
-	const [running, stopped] = [new InputTimer(), new InputTimer()];
+	const [running, stopped] = [new InputFirstTimer(), new InputFirstTimer()];
 	running.start(10, () => {
 		calls += 1;
 	});
--- a/src/upstream/http-upstream.ts
+++ b/src/upstream/http-upstream.ts
@@ -7,7 +7,7 @@
 import {Readable} from 'node:stream';
 import {type Dispatcher, Pool} from 'undici';
 import {CarobquayError, errorMessage} from '../errors/errors.js';
-import {InputTimer} from './input-timer.js';
+import {InputFirstTimer} from './input-first-timer.js';
 
 /** Codes of errors that occur before the first byte of a request is sent, so that the request cannot have run. */
 const connectErrorCodes: ReadonlySet<string> = new Set([
@@ -35,7 +35,7 @@
 /** Aborts a signal when the timer is not restarted within the timeout. */
 export class InactivityTimer {
 	readonly #controller = new AbortController();
-	readonly #timer = new InputTimer();
+	readonly #timer = new InputFirstTimer();
 	readonly #timeout: number;
 	#isStopped = false;
 	#isPaused = false;
--- a/src/upstream/input-timer.ts
+++ b/src/upstream/input-first-timer.ts
@@ -8,7 +8,7 @@
  */
 
 /** One timer, which can be restarted. */
-export class InputTimer {
+export class InputFirstTimer {
 	#timer: NodeJS.Timeout | undefined;
 	#immediate: NodeJS.Immediate | undefined;
 
