feat(watch): log the state of the store that each read has found

Cause: the logs named the version of a configuration that came into force, but not the era and version of the store, nor how long the store had not been heard of, so an older copy, a silent connection and an older row looked the same.

--- a/src/serving/serving-instance.ts
+++ b/src/serving/serving-instance.ts
@@ -296,7 +296,7 @@
 			},
 		});
 		const watch = new TableWatch({
-			source: this.#options.store, table: name, listener: replica, maximumPollWait: () => maximumPollWait,
+			source: this.#options.store, table: name, listener: replica, log: this.#options.log, maximumPollWait: () => maximumPollWait,
 			watcherCount: () => 1 + this.#peerMessenger.alivePeers.filter(({canReachStore}) => canReachStore).length,
 			canPeersReachStore: () => this.#peerMessenger.alivePeers.some(({canReachStore}) => canReachStore),
 		});
--- a/src/watch/__tests__/table-watch.test.ts
+++ b/src/watch/__tests__/table-watch.test.ts
@@ -3,6 +3,7 @@
 import {
 	HistoryLostError, type RowChange, type VersionedRows, type RowSource, StoreError,
 } from '../row-source.js';
+import {EventLog} from '../../telemetry/log.js';
 import {TableWatch} from '../table-watch.js';
 
 const row: RowChange = {key: 'a', value: '1', removed: false};
@@ -38,7 +39,7 @@
 		},
 	};
 	const watch = new TableWatch({
-		source, table: 'x', maximumPollWait: () => 1000, watcherCount: () => 1, canPeersReachStore: () => canPeersReachStore, random: () => 0,
+		source, table: 'x', log: new EventLog({write: () => undefined}), maximumPollWait: () => 1000, watcherCount: () => 1, canPeersReachStore: () => canPeersReachStore, random: () => 0,
 		listener: {
 			onSnapshot(rows, isAfterOutage) {
 				events.push(`snapshot ${rows.length}${isAfterOutage ? ' after outage' : ''}`);
@@ -132,7 +133,7 @@
 			onSnapshot: () => undefined, onChanges: () => undefined, onStoreUnavailable: () => undefined,
 		};
 		const watch = new TableWatch({
-			source, table: 'x', listener, maximumPollWait: () => 1000, watcherCount: () => watcherCount, canPeersReachStore: () => true, random: () => 0,
+			source, table: 'x', log: new EventLog({write: () => undefined}), listener, maximumPollWait: () => 1000, watcherCount: () => watcherCount, canPeersReachStore: () => true, random: () => 0,
 		});
 		t.teardown(() => {
 			watch.close();
--- a/src/watch/active-configuration.ts
+++ b/src/watch/active-configuration.ts
@@ -74,6 +74,10 @@
 		const {log, onChange} = this.#options;
 		const routes = value === this.#encodedValue ? undefined : this.#decode(value, origin);
 		if (!routes || routes.version <= this.version) {
+			if (routes) {
+				log.info('configuration.ignored', {version: routes.version, in_force: this.version, origin});
+			}
+
 			return;
 		}
 
--- a/src/watch/row-source.ts
+++ b/src/watch/row-source.ts
@@ -10,12 +10,16 @@
 	/** Encoded value; undefined if the row was removed or its value cannot be read. */
 	value: string | undefined;
 	removed: boolean;
+	/** Store version of the row's last change; undefined where it is not known. */
+	version?: number;
 };
 
 /** Rows with the store version at which they are valid. */
 export type VersionedRows = {
 	rows: readonly RowChange[];
 	version: number;
+	/** Era of the store that answered; undefined if the answer does not state it. */
+	era?: number;
 };
 
 /** Reads one table per call. */
--- a/src/watch/table-watch.ts
+++ b/src/watch/table-watch.ts
@@ -6,6 +6,7 @@
 import {performance} from 'node:perf_hooks';
 import {errorMessage} from '../errors/errors.js';
 import {delay} from '../request/time-limit.js';
+import type {EventLog} from '../telemetry/log.js';
 import {HistoryLostError, type RowChange, type RowSource} from './row-source.js';
 
 /** First and longest delay in milliseconds before a retry while the store does not answer. */
@@ -43,6 +44,7 @@
 	source: RowSource;
 	table: string;
 	listener: TableListener;
+	log: EventLog;
 	/** Longest time in milliseconds that a poll waits; evaluated for each poll. */
 	maximumPollWait: () => number;
 	/** Number of instances that watch the store and reach it, this one included. */
@@ -147,10 +149,13 @@
 	}
 
 	async #readSnapshot(): Promise<void> {
-		const {source, table, listener} = this.#options;
+		const {source, table, listener, log} = this.#options;
 		this.#callController = new AbortController();
-		const {rows, version} = await source.read(table, this.#callController.signal);
+		const {rows, version, era} = await source.read(table, this.#callController.signal);
 		const isAfterOutage = this.#consecutiveFailures > 0;
+		log.info('table.read', {
+			table, rows: rows.length, era, as_of: version, after_failures: this.#consecutiveFailures, silence: Math.round(this.timeSinceLastAnswer),
+		});
 		this.#version = version;
 		this.#consecutiveFailures = 0;
 		this.#lastAnswerAt = performance.now();
