fix(watch): notice within the time limits of changes that connections to the store have gone silent

In a test with one instance whose two connections to the store go silent without a reset, a route added 3 s later is answered 404 for 4.0 s and longer (limit 2 s). Cause: each poll waited 5 to 10 s at random and was given up 1 s after its wait, so that nothing said the connection was dead; instances help each other only where their polls happen to end at different times. Change: watchers poll in turn, and one of their polls ends in every gap that the deployment's own limits leave (2.5 s on the usual ones). A lone watcher polls that often, four or more keep their 10 s.

--- a/src/serving/model.ts
+++ b/src/serving/model.ts
@@ -183,4 +183,8 @@
 	maximumReservationLifetime: number;
 	/** Time after a request's end at which its memory must be free. */
 	memoryReleaseTimeout: number;
+	/** Time after an acknowledgement within which a configuration must be in force. */
+	propagationLimit: number;
+	/** Time after a disturbance until the limits on times hold again. */
+	stabilityWindow: number;
 };
--- a/src/serving/serving-instance.ts
+++ b/src/serving/serving-instance.ts
@@ -20,7 +20,8 @@
 import type {RowSource} from '../watch/row-source.js';
 import {TableReplica} from '../watch/table-replica.js';
 import {type ReplicatedTable, TableReplication} from '../watch/table-replication.js';
-import {type TableListener, TableWatch} from '../watch/table-watch.js';
+import {maximumPollGap, pollWait} from '../watch/poll-schedule.js';
+import {maximumChangeBatchDelay, type TableListener, TableWatch} from '../watch/table-watch.js';
 import {Admission, type ServingState} from './admission.js';
 import {CallerListener} from './caller-listener.js';
 import {EngineChooser} from './engine-chooser.js';
@@ -68,9 +69,6 @@
 	droppedLineCount: () => number;
 };
 
-/** Longest time in milliseconds that a poll of the store waits; a silently dropped connection is noticed well before its end, at the next call of another store watcher. */
-const maximumPollWait = 10_000;
-
 /** Time in milliseconds after SIGTERM for which callers are still routed here: two readiness probes and a margin. */
 const readinessPropagationDelay = 2500;
 
@@ -295,10 +293,18 @@
 				this.#peerMessenger.broadcastDelta(index, delta);
 			},
 		});
+		const {store, log, ip, bounds: {stabilityWindow, propagationLimit}} = this.#options;
+		const maximumGap = maximumPollGap({
+			stabilityWindow, propagationLimit, responseTimeout: store.responseTimeout, changeBatchDelay: maximumChangeBatchDelay,
+		});
+		const otherWatchers = () => this.#peerMessenger.alivePeers.filter(({canReachStore}) => canReachStore).map(peer => peer.ip);
 		const watch = new TableWatch({
-			source: this.#options.store, table: name, listener: replica, log: this.#options.log, maximumPollWait: () => maximumPollWait,
-			watcherCount: () => 1 + this.#peerMessenger.alivePeers.filter(({canReachStore}) => canReachStore).length,
-			canPeersReachStore: () => this.#peerMessenger.alivePeers.some(({canReachStore}) => canReachStore),
+			source: store, table: name, listener: replica, log,
+			pollWait: isAfterChange => pollWait({
+				ip, otherWatchers: otherWatchers(), maximumGap, isAfterChange,
+			}),
+			watcherCount: () => 1 + otherWatchers().length,
+			canPeersReachStore: () => otherWatchers().length > 0,
 		});
 		return {name, replica, watch};
 	}
--- a/src/watch/__tests__/table-watch.test.ts
+++ b/src/watch/__tests__/table-watch.test.ts
@@ -29,6 +29,7 @@
 		setTimeout(resolve, time);
 	});
 	const source: RowSource = {
+		responseTimeout: 1000,
 		async read() {
 			await wait(5);
 			return nextAnswer('read');
@@ -39,7 +40,7 @@
 		},
 	};
 	const watch = new TableWatch({
-		source, table: 'x', log: new EventLog({write: () => undefined}), maximumPollWait: () => 1000, watcherCount: () => 1, canPeersReachStore: () => canPeersReachStore, random: () => 0,
+		source, table: 'x', log: new EventLog({write: () => undefined}), pollWait: () => 1000, watcherCount: () => 1, canPeersReachStore: () => canPeersReachStore, random: () => 0,
 		listener: {
 			onSnapshot(rows, isAfterOutage) {
 				events.push(`snapshot ${rows.length}${isAfterOutage ? ' after outage' : ''}`);
@@ -123,6 +124,7 @@
 		const clock = fakeTimers.install({toFake: ['setTimeout', 'clearTimeout', 'performance']});
 		let calls = 0;
 		const source: RowSource = {
+			responseTimeout: 1000,
 			read: async () => snapshot,
 			async pollChanges(_table, version) {
 				calls += 1;
@@ -133,7 +135,7 @@
 			onSnapshot: () => undefined, onChanges: () => undefined, onStoreUnavailable: () => undefined,
 		};
 		const watch = new TableWatch({
-			source, table: 'x', log: new EventLog({write: () => undefined}), listener, maximumPollWait: () => 1000, watcherCount: () => watcherCount, canPeersReachStore: () => true, random: () => 0,
+			source, table: 'x', log: new EventLog({write: () => undefined}), listener, pollWait: () => 1000, watcherCount: () => watcherCount, canPeersReachStore: () => true, random: () => 0,
 		});
 		t.teardown(() => {
 			watch.close();
--- /dev/null
+++ b/src/watch/poll-schedule.ts
@@ -0,0 +1,48 @@
+/**
+ * When the instances that watch the store poll it: in turn, so that one of them soon notices a connection that has gone
+ * silent without a reset, and sends the others what it then reads.
+ *
+ * @module
+ */
+
+/** Longest time in milliseconds that one poll waits. */
+const maximumPollWait = 10_000;
+
+/** Shortest time in milliseconds between the ends of two polls of the fleet, whatever the time limits are. */
+const minimumPollGap = 500;
+
+/** Limits in milliseconds that decide how soon a silent connection must be noticed. */
+export type PropagationLimits = {
+	/** Time after a disturbance until an instance must take changes in again. */
+	stabilityWindow: number;
+	/** Time within which an acknowledged configuration must be in force. */
+	propagationLimit: number;
+	/** Time without a response after which a call to the store fails. */
+	responseTimeout: number;
+	/** Longest delay before the first poll after a change. */
+	changeBatchDelay: number;
+};
+
+/** Longest time in milliseconds between the ends of two polls of the fleet. The timeouts of a silent poll and of one more silent call fit in beside it. */
+export function maximumPollGap({stabilityWindow, propagationLimit, responseTimeout, changeBatchDelay}: PropagationLimits): number {
+	return Math.max(minimumPollGap, stabilityWindow + propagationLimit - (2 * responseTimeout) - changeBatchDelay);
+}
+
+/** One poll of one watcher. */
+export type PollTurn = {
+	ip: string;
+	/** IP addresses of the other instances that watch the store and reach it. */
+	otherWatchers: readonly string[];
+	/** In milliseconds. */
+	maximumGap: number;
+	/** Whether the polls of all watchers have just ended with a change, so that they start anew together. */
+	isAfterChange: boolean;
+};
+
+/** Time in milliseconds that a poll waits for a change. */
+export function pollWait({ip, otherWatchers, maximumGap, isAfterChange}: PollTurn): number {
+	const watcherCount = otherWatchers.length + 1;
+	const cycle = Math.min(maximumPollWait, maximumGap * watcherCount);
+	const turn = 1 + otherWatchers.filter(other => other < ip).length;
+	return Math.round(isAfterChange ? cycle * turn / watcherCount : cycle);
+}
--- a/src/watch/row-source.ts
+++ b/src/watch/row-source.ts
@@ -24,6 +24,8 @@
 
 /** Reads one table per call. */
 export interface RowSource {
+	/** Time in milliseconds without a response after which a call fails, on top of the wait of a poll. */
+	readonly responseTimeout: number;
 	/** All rows of a table. @throws {StoreError} */
 	read(table: string, signal?: AbortSignal): Promise<VersionedRows>;
 	/**
--- a/src/watch/table-watch.ts
+++ b/src/watch/table-watch.ts
@@ -23,9 +23,9 @@
 const changeBatchDelayPerWatcher = 100;
 
 /** Longest delay in milliseconds after changes, a fraction of the shortest time limit for a change to take effect. */
-const maximumChangeBatchDelay = 500;
+export const maximumChangeBatchDelay = 500;
 
-/** Random share of poll waits and retry delays, so that the calls of instances do not synchronize. */
+/** Random share of retry delays, so that the calls of instances do not synchronize. */
 const jitter = 0.5;
 
 /** Receives the contents of a table. */
@@ -45,8 +45,8 @@
 	table: string;
 	listener: TableListener;
 	log: EventLog;
-	/** Longest time in milliseconds that a poll waits; evaluated for each poll. */
-	maximumPollWait: () => number;
+	/** Time in milliseconds that the next poll waits. @param isAfterChange - Whether the call before it received changes. */
+	pollWait: (isAfterChange: boolean) => number;
 	/** Number of instances that watch the store and reach it, this one included. */
 	watcherCount: () => number;
 	/** Whether any peer reaches the store and sends its changes. */
@@ -66,6 +66,7 @@
 	#lastAnswerAt = performance.now();
 	#isActive = true;
 	#isCalling = false;
+	#isAfterChange = true;
 	#wake: (() => void) | undefined;
 
 	constructor(options: TableWatchOptions) {
@@ -163,12 +164,13 @@
 	}
 
 	async #pollChanges(sinceVersion: number): Promise<void> {
-		const {source, table, listener, maximumPollWait, watcherCount} = this.#options;
-		const wait = Math.round(maximumPollWait() * (1 - (jitter * this.#random())));
+		const {source, table, listener, pollWait, watcherCount} = this.#options;
+		const wait = pollWait(this.#isAfterChange);
 		this.#callController = new AbortController();
 		const {rows, version} = await source.pollChanges(table, sinceVersion, wait, this.#callController.signal);
 		this.#version = Math.max(sinceVersion, version);
 		this.#lastAnswerAt = performance.now();
+		this.#isAfterChange = rows.length > 0;
 		if (rows.length > 0) {
 			listener.onChanges(rows, version);
 			await delay(Math.min(maximumChangeBatchDelay, changeBatchDelayPerWatcher * watcherCount()), this.#closeController.signal);
