fix(watch): order what the store says by era, then by version

Callers saw: an added route was not served, or a changed one was handled by the version before, until the next read of the whole table, which could be never. Cause: state of the store was ordered by its version alone. A store that comes back from an older copy gives out versions again. A poll that goes on from before never hears of what is written below its version, once the counter has passed it the store no longer refuses it, and among instances the one with the larger, lost version counted as the newer one. A poll whose answer is of another era or an earlier version leads to a read of all rows; so does a peer that has heard of a later era, once for each era. Rows of a later era are read even if they look the same, because their versions differ. Repeated resets back off. Entries that are missing in the new era count as lapsed in an outage. An instance writes its own row again, at a random moment within 2 s. Builds without eras read the new datagrams and are read (the era is a further element of a digest). Why it works: each era is read whole before anything is compared by versions in it.

--- a/src/peers/peer-datagram.ts
+++ b/src/peers/peer-datagram.ts
@@ -122,9 +122,9 @@
 		isStoreWatcher,
 		canReachStore,
 		isRecoveringFromOutage,
-		digests.map(({version, checksum}) => [version, checksum]),
+		digests.map(digest => encodeDigest(digest)),
 		deltas.map(({table, baseChecksum, digest, rows}) => [
-			table, baseChecksum, [digest.version, digest.checksum], rows.map(({key, value, removed}) => [key, removed ? false : value ?? '']),
+			table, baseChecksum, encodeDigest(digest), rows.map(({key, value, removed}) => [key, removed ? false : value ?? '']),
 		]),
 	];
 }
@@ -159,9 +159,14 @@
 	}];
 }
 
+function encodeDigest({version, checksum, era}: TableDigest): number[] {
+	return [version, checksum, era];
+}
+
+/** The era is missing in datagrams of earlier builds. */
 function decodeDigest(digest: unknown): TableDigest {
-	const [version, checksum] = asList(digest, 'digest');
-	return {version: asNumber(version, 'digest version'), checksum: asNumber(checksum, 'digest checksum')};
+	const [version, checksum, era = 0] = asList(digest, 'digest');
+	return {version: asNumber(version, 'digest version'), checksum: asNumber(checksum, 'digest checksum'), era: asNumber(era, 'digest era')};
 }
 
 function decodeRow(row: unknown): RowChange | undefined {
--- a/src/serving/serving-instance.ts
+++ b/src/serving/serving-instance.ts
@@ -5,7 +5,6 @@
  */
 import http from 'node:http';
 import {performance} from 'node:perf_hooks';
-import {errorMessage} from '../errors/errors.js';
 import {PeerMessenger} from '../peers/peer-messenger.js';
 import {delay} from '../request/time-limit.js';
 import {fetchTableSnapshot, type TableIndex, TableServer} from '../peers/table-transfer.js';
@@ -28,6 +27,7 @@
 import type {
 	EngineRecord, RequestProtocol, ServingBounds, ServingConfiguration,
 } from './model.js';
+import {InstanceRegistration, type RowWriter} from './instance-registration.js';
 import {RetryBudget} from './retry-budget.js';
 import {ServingMetrics} from './serving-metrics.js';
 
@@ -42,11 +42,6 @@
 	instances: {table: string; decode: (value: string) => string};
 };
 
-/** Writes this instance's own rows to the store. */
-export interface RowWriter {
-	write(table: string, key: string, value: string): Promise<void>;
-}
-
 /** Options of a `ServingInstance`. */
 export type ServingInstanceOptions = {
 	instance: string;
@@ -78,9 +73,8 @@
 /** Share of the grace period after which requests in flight are abandoned. */
 const drainTimeoutShare = 0.97;
 
-/** Times in milliseconds between two checks whether all requests have ended, and on average between two attempts to join. */
+/** Time in milliseconds between two checks whether all requests have ended. */
 const drainCheckInterval = 50;
-const joinRetryDelay = 1000;
 
 /** Time in milliseconds within which seeds reply: several times the latency across failure domains, as their processes may have just started. */
 const seedReplyWait = 100;
@@ -95,6 +89,9 @@
 /** Longest random delay in milliseconds before an instance writes its address, so that not all instances write at once. */
 const maximumJoinDelay = 500;
 
+/** Longest random delay in milliseconds before an instance writes its address again after the store has lost it; only instances that start later need it. */
+const maximumRewriteDelay = 2000;
+
 /** One running instance. */
 export class ServingInstance {
 	readonly #options: ServingInstanceOptions;
@@ -107,13 +104,13 @@
 	readonly #replication: TableReplication;
 	readonly #tableServer: TableServer;
 	readonly #peerMessenger: PeerMessenger;
+	readonly #registration: InstanceRegistration;
 	readonly #admission: Admission;
 	readonly #listener: CallerListener;
 	readonly #auxiliaryServers: http.Server[] = [];
 	readonly #peersKnown: Promise<void>;
 	#resolvePeersKnown: (() => void) | undefined;
 	#state: ServingState = 'serving';
-	#hasJoined = false;
 
 	constructor(options: ServingInstanceOptions) {
 		this.#options = options;
@@ -153,6 +150,13 @@
 				this.#engines.onPeerOutage();
 			},
 			isRecoveringFromOutage: () => this.#engines.isRecoveringFromOutage,
+			onNewEra: () => {
+				void this.#registration.register(maximumRewriteDelay);
+			},
+		});
+		this.#registration = new InstanceRegistration({
+			store, table: tables.instances, instance: options.instance, ip, log,
+			messenger: this.#peerMessenger, isServing: () => this.#state === 'serving',
 		});
 		this.#tableServer = new TableServer(table => ({digest: this.#tables[table].replica.digest, rows: this.#tables[table].replica.rows}));
 		const placementCoordinator = new PlacementCoordinator({
@@ -243,27 +247,19 @@
 		}
 	}
 
-	/** Reads the addresses of the other instances if no seed has replied, then writes this instance's own for those that start later. */
+	/** Finds the other instances, by the store if no seed has replied, then writes this instance's own address for those that start later. */
 	async #join(): Promise<void> {
-		const {store, tables: {instances}, instance, ip, log} = this.#options;
 		setTimeout(() => {
 			this.#resolvePeersKnown?.();
 		}, maximumPeerWait);
 		await this.#waitForReply();
-		const listedCount = this.#peerMessenger.peerCount === 0 ? await this.#contactStoredInstances() : 0;
+		if (this.#peerMessenger.peerCount === 0) {
+			await this.#registration.contactListed();
+		}
+
 		await delay(placementReportWait);
 		this.#resolvePeersKnown?.();
-		await delay(maximumJoinDelay * Math.random());
-		while (!this.#hasJoined && this.#state === 'serving') {
-			try {
-				await store.write(instances.table, instance, ip); // eslint-disable-line no-await-in-loop
-				this.#hasJoined = true;
-				log.info('instance.joined', {peers: this.#peerMessenger.peerCount, read: listedCount + (this.#peerMessenger.peerCount === 0 ? await this.#contactStoredInstances() : 0)}); // eslint-disable-line no-await-in-loop
-			} catch (error) {
-				log.warn('instance.join-failed', {reason: errorMessage(error)});
-				await delay(joinRetryDelay * (0.5 + Math.random())); // eslint-disable-line no-await-in-loop
-			}
-		}
+		await this.#registration.register(maximumJoinDelay);
 	}
 
 	/** Waits until a seed has replied, or long enough for a reply. */
@@ -273,19 +269,6 @@
 		}
 	}
 
-	/** Contacts all instances that are listed in the store. @returns their number, 0 if the store cannot be read. */
-	async #contactStoredInstances(): Promise<number> {
-		const {store, tables: {instances}, log} = this.#options;
-		try {
-			const {rows} = await store.read(instances.table);
-			this.#peerMessenger.contact(rows.flatMap(({value}) => value === undefined ? [] : [instances.decode(value)]));
-			return rows.length;
-		} catch (error) {
-			log.warn('instance.list-failed', {reason: errorMessage(error)});
-			return 0;
-		}
-	}
-
 	#createReplicatedTable(index: TableIndex, name: string, listener: TableListener, fingerprint: (key: string, value: string) => string): ReplicatedTable {
 		const replica = new TableReplica({
 			listener, fingerprint,
--- a/src/watch/store-position.ts
+++ b/src/watch/store-position.ts
@@ -10,7 +10,7 @@
  */
 export type StorePosition = {era: number; version: number};
 
-/** Position of an instance that has not read anything. */
+/** Position before the first read; the versions of a store that holds any row are above it. */
 export const initialPosition: StorePosition = {era: 0, version: 0};
 
 /** Whether one position is later than another. */
--- a/src/watch/table-replica.ts
+++ b/src/watch/table-replica.ts
@@ -4,12 +4,13 @@
  * @module
  */
 import type {RowChange} from './row-source.js';
+import {
+	initialPosition, isLater, latestOf, type StorePosition,
+} from './store-position.js';
 import type {TableListener} from './table-watch.js';
 
-/** What instances compare: equal checksums mean the same rows. */
-export type TableDigest = {
-	/** Store version as of which the rows are known. */
-	version: number;
+/** What instances compare: the position as of which the rows are known, and a checksum that is equal where the rows are the same. */
+export type TableDigest = StorePosition & {
 	/** Sum of the hashes of the rows, as an unsigned 32-bit integer; 0 for an empty table. */
 	checksum: number;
 };
@@ -47,7 +48,7 @@
 export class TableReplica implements TableListener {
 	readonly #options: TableReplicaOptions;
 	readonly #rows = new Map<string, {value: string; hash: number}>();
-	#version = 0;
+	#position = initialPosition;
 	#checksum = 0;
 
 	constructor(options: TableReplicaOptions) {
@@ -55,7 +56,7 @@
 	}
 
 	get digest(): TableDigest {
-		return {version: this.#version, checksum: this.#checksum};
+		return {...this.#position, checksum: this.#checksum};
 	}
 
 	/** All rows, for another instance. */
@@ -63,63 +64,66 @@
 		return [...this.#rows].map(([key, {value}]) => ({key, value, removed: false}));
 	}
 
-	onSnapshot(rows: readonly RowChange[], isAfterOutage: boolean, version: number): void {
-		const baseChecksum = this.#checksum;
-		const changes = this.#replaceRows(rows, version);
-		this.#options.listener.onSnapshot(rows, isAfterOutage, version);
-		this.#reportChange(baseChecksum, changes);
+	onSnapshot(rows: readonly RowChange[], isAfterOutage: boolean, position: StorePosition): void {
+		const before = this.digest;
+		const changes = this.#replaceRows(rows, position);
+		this.#options.listener.onSnapshot(rows, isAfterOutage, position);
+		this.#reportChange(before, changes);
 	}
 
-	onChanges(rows: readonly RowChange[], version: number): void {
-		const baseChecksum = this.#checksum;
-		this.#applyChanges(rows, version);
-		this.#options.listener.onChanges(rows, version);
-		this.#reportChange(baseChecksum, rows);
+	onChanges(rows: readonly RowChange[], position: StorePosition): void {
+		const before = this.digest;
+		this.#applyChanges(rows, position);
+		this.#options.listener.onChanges(rows, position);
+		this.#reportChange(before, rows);
 	}
 
 	onStoreUnavailable(reason: string): void {
 		this.#options.listener.onStoreUnavailable(reason);
 	}
 
-	/** The rows are unchanged as of a later version. */
-	onVersionConfirmed(version: number): void {
-		this.#version = Math.max(this.#version, version);
+	/** The rows are unchanged as of a later position of the same era; of another era, rows are always read. */
+	onPositionConfirmed(position: StorePosition): void {
+		if (position.era === this.#position.era) {
+			this.#position = latestOf(this.#position, position);
+		}
 	}
 
-	/** Whether a peer's rows are newer than these. */
-	isBehind({version, checksum}: TableDigest): boolean {
-		return checksum !== this.#checksum && version > this.#version;
+	/** Whether a peer's rows are newer than these: of a later era, or other rows of a later version. */
+	isBehind({checksum, ...position}: TableDigest): boolean {
+		return position.era > this.#position.era || (checksum !== this.#checksum && isLater(position, this.#position));
 	}
 
 	/** Applies a peer's changes. @returns false if they were made to other rows than these, or do not lead to the peer's checksum. */
 	applyDelta({baseChecksum, digest, rows}: TableDelta): boolean {
-		if (baseChecksum !== this.#checksum) {
+		if (baseChecksum !== this.#checksum || digest.era !== this.#position.era) {
 			return false;
 		}
 
-		this.#applyChanges(rows, digest.version);
-		this.#options.listener.onChanges(rows, digest.version);
+		this.#applyChanges(rows, digest);
+		this.#options.listener.onChanges(rows, digest);
 		return this.#checksum === digest.checksum;
 	}
 
 	/** Replaces all rows by a peer's, unless the rows here are newer. */
 	applySnapshot(rows: readonly RowChange[], digest: TableDigest): void {
 		if (this.isBehind(digest)) {
-			this.#replaceRows(rows, digest.version);
-			this.#options.listener.onSnapshot(rows, false, digest.version);
+			const isNewEra = this.#position !== initialPosition && digest.era > this.#position.era;
+			this.#replaceRows(rows, digest);
+			this.#options.listener.onSnapshot(rows, isNewEra, digest);
 		}
 	}
 
 	/** Replaces all rows. @returns the new rows and the removals of rows that are no longer present. */
-	#replaceRows(rows: readonly RowChange[], version: number): RowChange[] {
+	#replaceRows(rows: readonly RowChange[], position: StorePosition): RowChange[] {
 		const present = new Set(rows.map(({key}) => key));
 		const removed = [...this.#rows.keys()].filter(key => !present.has(key)).map(key => ({key, value: undefined, removed: true}));
 		const changes = [...rows, ...removed];
-		this.#applyChanges(changes, version);
+		this.#applyChanges(changes, position);
 		return changes;
 	}
 
-	#applyChanges(rows: readonly RowChange[], version: number): void {
+	#applyChanges(rows: readonly RowChange[], {era, version}: StorePosition): void {
 		for (const {key, value, removed} of rows) {
 			const previous = this.#rows.get(key);
 			if (previous) {
@@ -134,12 +138,13 @@
 			}
 		}
 
-		this.#version = Math.max(this.#version, version);
+		this.#position = latestOf(this.#position, {era, version});
 	}
 
-	#reportChange(baseChecksum: number, rows: readonly RowChange[]): void {
-		if (baseChecksum !== this.#checksum) {
-			this.#options.onStoreChange({baseChecksum, digest: this.digest, rows});
+	/** Reports changes from the store, and a new era even without changes, so that peers read before they trust their rows. */
+	#reportChange(before: TableDigest, rows: readonly RowChange[]): void {
+		if (before.checksum !== this.#checksum || before.era !== this.#position.era) {
+			this.#options.onStoreChange({baseChecksum: before.checksum, digest: this.digest, rows});
 		}
 	}
 }
--- a/src/watch/table-replication.ts
+++ b/src/watch/table-replication.ts
@@ -11,6 +11,7 @@
 import {
 	type StoreWatchReason, type PeerStatus, storeWatchReason, isWatching,
 } from './store-watcher-selection.js';
+import {initialPosition} from './store-position.js';
 import type {TableReplica, TableDelta, TableDigest} from './table-replica.js';
 import type {TableWatch} from './table-watch.js';
 
@@ -43,6 +44,8 @@
 	fetchSnapshot: (ip: string, table: TableIndex) => Promise<TableSnapshot>;
 	/** Called when a peer reports that it has just been through a store outage. */
 	onPeerOutage: () => void;
+	/** Called when the store has come back from an older copy, as this instance or a peer has read. */
+	onNewEra: () => void;
 	/** Whether this instance has just been through a store outage. */
 	isRecoveringFromOutage: () => boolean;
 	/** @default Math.random */
@@ -55,6 +58,8 @@
 	readonly #random: () => number;
 	readonly #pendingFetches = new Map<TableIndex, NodeJS.Timeout>();
 	#watchReason: StoreWatchReason = 'small-fleet';
+	/** Latest era of the store that this instance has heard of. */
+	#era: number | undefined;
 	#lastDecisionAt = performance.now();
 	#decisionTimer: NodeJS.Timeout | undefined;
 
@@ -111,10 +116,14 @@
 
 		for (const [index, digest] of digests.entries()) {
 			const table = index === 0 ? 0 : 1;
-			const {replica} = this.#options.tables[table];
+			const {replica, watch} = this.#options.tables[table];
+			this.#noteEra(digest);
+			watch.onPeerEra(digest.era);
 			if (replica.digest.checksum === digest.checksum) {
-				replica.onVersionConfirmed(digest.version);
-			} else if (replica.isBehind(digest) && !this.#pendingFetches.has(table)) {
+				replica.onPositionConfirmed(digest);
+			}
+
+			if (replica.isBehind(digest) && !this.#pendingFetches.has(table)) {
 				this.#pendingFetches.set(table, setTimeout(() => {
 					void this.#fetchSnapshot(ip, table, digest);
 				}, this.#random() * maximumFetchDelay));
@@ -122,6 +131,21 @@
 		}
 	}
 
+	/** Takes note of the era that this instance or a peer has read. */
+	#noteEra({era, version}: TableDigest): void {
+		const hasRead = version > initialPosition.version;
+		if (!hasRead || (this.#era !== undefined && era <= this.#era)) {
+			return;
+		}
+
+		const before = this.#era;
+		this.#era = era;
+		this.#options.log.info('store.era', {era, before});
+		if (before !== undefined) {
+			this.#options.onNewEra();
+		}
+	}
+
 	async #fetchSnapshot(ip: string, table: TableIndex, digest: TableDigest): Promise<void> {
 		const {tables, fetchSnapshot, log} = this.#options;
 		const {replica, watch, name} = tables[table];
@@ -130,7 +154,7 @@
 				const snapshot = await fetchSnapshot(ip, table);
 				replica.applySnapshot(snapshot.rows, snapshot.digest);
 				log.info('table.fetched', {
-					table: name, peer: ip, rows: snapshot.rows.length, as_of: snapshot.digest.version, own_as_of: replica.digest.version,
+					table: name, peer: ip, rows: snapshot.rows.length, era: snapshot.digest.era, as_of: snapshot.digest.version, own_as_of: replica.digest.version,
 				});
 			}
 		} catch (error) {
@@ -141,8 +165,13 @@
 		}
 	}
 
+	/** Decides whether to watch the store. */
 	#updateWatchReason(): void {
 		const {ip, peers, tables, log} = this.#options;
+		for (const {replica} of tables) {
+			this.#noteEra(replica.digest);
+		}
+
 		const now = performance.now();
 		const currentPeers = peers();
 		const reason = storeWatchReason({
--- a/src/watch/table-watch.ts
+++ b/src/watch/table-watch.ts
@@ -7,7 +7,10 @@
 import {errorMessage} from '../errors/errors.js';
 import {delay} from '../request/time-limit.js';
 import type {EventLog} from '../telemetry/log.js';
-import {HistoryLostError, type RowChange, type RowSource} from './row-source.js';
+import {
+	HistoryLostError, type RowChange, type RowSource, StoreError, type VersionedRows,
+} from './row-source.js';
+import type {StorePosition} from './store-position.js';
 
 /** First and longest delay in milliseconds before a retry while the store does not answer. */
 const initialRetryDelay = 100;
@@ -30,11 +33,15 @@
 
 /** Receives the contents of a table. */
 export interface TableListener {
-	/** Called with all rows, which replace the rows known before. @param isAfterOutage - Whether the calls before this read failed. */
-	onSnapshot(rows: readonly RowChange[], isAfterOutage: boolean, version: number): void;
-	onChanges(rows: readonly RowChange[], version: number): void;
-	/** Called if nothing has changed up to a version. */
-	onVersionConfirmed?(version: number): void;
+	/**
+	 * Called with all rows, which replace the rows known before.
+	 *
+	 * @param isAfterOutage - Whether rows may be missing because they expired in an outage or were lost with an older copy.
+	 */
+	onSnapshot(rows: readonly RowChange[], isAfterOutage: boolean, position: StorePosition): void;
+	onChanges(rows: readonly RowChange[], position: StorePosition): void;
+	/** Called if nothing has changed up to a position. */
+	onPositionConfirmed?(position: StorePosition): void;
 	/** Called when the store stops answering; the known rows may be out of date. */
 	onStoreUnavailable(reason: string): void;
 }
@@ -61,8 +68,14 @@
 	readonly #random: () => number;
 	readonly #closeController = new AbortController();
 	#callController = new AbortController();
-	#version: number | undefined;
+	#position: StorePosition | undefined;
+	/** Era of the store's last answer; undefined before the first one. */
+	#era: number | undefined;
+	/** Latest era that a peer has stated. */
+	#peerEra = 0;
 	#consecutiveFailures = 0;
+	/** Reads in a row that were needed because the store did not have the position of a poll. */
+	#consecutiveResets = 0;
 	#lastAnswerAt = performance.now();
 	#isActive = true;
 	#isCalling = false;
@@ -74,11 +87,6 @@
 		this.#random = options.random ?? Math.random;
 	}
 
-	/** Store version up to which the table is known; 0 before the first read. */
-	get version(): number {
-		return this.#version ?? 0;
-	}
-
 	/** Time in milliseconds since the store last answered. */
 	get timeSinceLastAnswer(): number {
 		return performance.now() - this.#lastAnswerAt;
@@ -86,7 +94,7 @@
 
 	/** Whether the store answered the last call. */
 	get isStoreReachable(): boolean {
-		return this.#version !== undefined && this.#consecutiveFailures === 0;
+		return this.#position !== undefined && this.#consecutiveFailures === 0;
 	}
 
 	/** Whether a store call or the delay that follows it is in progress. */
@@ -101,7 +109,7 @@
 		}
 
 		this.#isActive = isActive;
-		this.#version = undefined;
+		this.#position = undefined;
 		this.#callController.abort();
 		this.#wake?.();
 	}
@@ -114,13 +122,23 @@
 		}
 	}
 
-	/** Reads the whole table again at once; for use when a peer has a newer version. */
+	/** Reads the whole table again at once; for use when a peer has newer rows. */
 	refresh(): void {
-		this.#version = undefined;
+		this.#position = undefined;
 		this.#callController.abort();
 		this.#wake?.();
 	}
 
+	/** Reads the whole table again, once for each era, if a peer has heard of a later one than this instance. */
+	onPeerEra(era: number): void {
+		if (this.#era !== undefined && era > Math.max(this.#era, this.#peerEra)) {
+			this.#peerEra = era;
+			if (this.#isActive) {
+				this.refresh();
+			}
+		}
+	}
+
 	close(): void {
 		this.#closeController.abort();
 		this.#callController.abort();
@@ -141,7 +159,7 @@
 	async #callStore(): Promise<void> {
 		this.#isCalling = true;
 		try {
-			await (this.#version === undefined || this.#consecutiveFailures > 0 ? this.#readSnapshot() : this.#pollChanges(this.#version));
+			await (this.#position === undefined || this.#consecutiveFailures > 0 ? this.#readSnapshot() : this.#pollChanges(this.#position));
 		} catch (error) {
 			await this.#handleFailure(error);
 		} finally {
@@ -152,30 +170,55 @@
 	async #readSnapshot(): Promise<void> {
 		const {source, table, listener, log} = this.#options;
 		this.#callController = new AbortController();
-		const {rows, version, era} = await source.read(table, this.#callController.signal);
-		const isAfterOutage = this.#consecutiveFailures > 0;
+		const answer = await source.read(table, this.#callController.signal);
+		const {rows, version} = answer;
+		const eraBefore = this.#era ?? answer.era ?? 0;
+		const era = answer.era ?? eraBefore;
+		if (era < eraBefore) {
+			throw new StoreError(`read of table "${table}"`, `the answer is of era ${era}, before era ${eraBefore}`);
+		}
+
+		const isAfterOutage = this.#consecutiveFailures > 0 || era > eraBefore;
 		log.info('table.read', {
-			table, rows: rows.length, era, as_of: version, after_failures: this.#consecutiveFailures, silence: Math.round(this.timeSinceLastAnswer),
+			table, rows: rows.length, era, as_of: version, era_before: eraBefore, after_failures: this.#consecutiveFailures, silence: Math.round(this.timeSinceLastAnswer),
 		});
-		this.#version = version;
+		this.#era = era;
+		this.#position = {era, version};
 		this.#consecutiveFailures = 0;
 		this.#lastAnswerAt = performance.now();
-		listener.onSnapshot(rows, isAfterOutage, version);
+		listener.onSnapshot(rows, isAfterOutage, this.#position);
 	}
 
-	async #pollChanges(sinceVersion: number): Promise<void> {
+	async #pollChanges(since: StorePosition): Promise<void> {
 		const {source, table, listener, pollWait, watcherCount} = this.#options;
 		const wait = pollWait(this.#isAfterChange);
 		this.#callController = new AbortController();
-		const {rows, version} = await source.pollChanges(table, sinceVersion, wait, this.#callController.signal);
-		this.#version = Math.max(sinceVersion, version);
+		const answer = await source.pollChanges(table, since.version, wait, this.#callController.signal);
+		this.#assertContinues(since, answer);
+		const {rows, version} = answer;
+		this.#position = {era: since.era, version};
 		this.#lastAnswerAt = performance.now();
+		this.#consecutiveResets = 0;
 		this.#isAfterChange = rows.length > 0;
 		if (rows.length > 0) {
-			listener.onChanges(rows, version);
+			listener.onChanges(rows, this.#position);
 			await delay(Math.min(maximumChangeBatchDelay, changeBatchDelayPerWatcher * watcherCount()), this.#closeController.signal);
 		} else {
-			listener.onVersionConfirmed?.(version);
+			listener.onPositionConfirmed?.(this.#position);
+		}
+	}
+
+	/**
+	 * An answer of another era, or of an earlier version, may lack changes made under versions that the store gave out twice.
+	 *
+	 * @throws {HistoryLostError}
+	 */
+	#assertContinues(since: StorePosition, {version, era = since.era}: VersionedRows): void {
+		if (era !== since.era || version < since.version) {
+			this.#options.log.warn('store.went-back', {
+				table: this.#options.table, era, as_of: version, era_before: since.era, as_of_before: since.version,
+			});
+			throw new HistoryLostError(`poll of table "${this.#options.table}"`);
 		}
 	}
 
@@ -185,7 +228,12 @@
 		}
 
 		if (error instanceof HistoryLostError) {
-			this.#version = undefined;
+			this.#position = undefined;
+			this.#consecutiveResets += 1;
+			if (this.#consecutiveResets > 1) {
+				await this.#delayRetry(this.#consecutiveResets - 1);
+			}
+
 			return;
 		}
 
@@ -194,7 +242,12 @@
 			this.#options.listener.onStoreUnavailable(errorMessage(error));
 		}
 
-		const retryDelay = Math.min(this.#options.canPeersReachStore() ? maximumRetryDelayWithPeers : maximumRetryDelay, initialRetryDelay * (retryBackoffFactor ** (this.#consecutiveFailures - 1)));
+		await this.#delayRetry(this.#consecutiveFailures);
+	}
+
+	async #delayRetry(attempts: number): Promise<void> {
+		const maximumDelay = this.#options.canPeersReachStore() ? maximumRetryDelayWithPeers : maximumRetryDelay;
+		const retryDelay = Math.min(maximumDelay, initialRetryDelay * (retryBackoffFactor ** (attempts - 1)));
 		await delay(retryDelay * (1 - (jitter * this.#random())), this.#closeController.signal);
 	}
 }
