fix(watch): never take a row that is older than the one known

Callers would see: a removed route or an engine that has left served again for some seconds, after a read of the store that was behind, a late message of a peer, or a copy that still holds the row. Replicas kept no version of a row. Change: rows and removals carry their store versions, also between instances. In one era an older row is not taken, and a read that is behind removes nothing newer. In a new era versions start afresh, but a row that had been removed and appears with the very version of the removed one is the copy's and not taken; written again, it has another version and is. What remains: a copy that holds a still earlier version of a removed row brings it back until the platform removes it again.

--- a/src/peers/peer-datagram.ts
+++ b/src/peers/peer-datagram.ts
@@ -124,7 +124,7 @@
 		isRecoveringFromOutage,
 		digests.map(digest => encodeDigest(digest)),
 		deltas.map(({table, baseChecksum, digest, rows}) => [
-			table, baseChecksum, encodeDigest(digest), rows.map(({key, value, removed}) => [key, removed ? false : value ?? '']),
+			table, baseChecksum, encodeDigest(digest), rows.map(row => encodeRow(row)),
 		]),
 	];
 }
@@ -169,17 +169,20 @@
 	return {version: asNumber(version, 'digest version'), checksum: asNumber(checksum, 'digest checksum'), era: asNumber(era, 'digest era')};
 }
 
+function encodeRow({key, value, removed, version}: RowChange): unknown[] {
+	return [key, removed ? false : value ?? '', ...(version === undefined ? [] : [version])];
+}
+
+/** The version is missing in datagrams of earlier builds. */
 function decodeRow(row: unknown): RowChange | undefined {
-	const [key, value] = Array.isArray(row) ? row as unknown[] : [];
-	if (typeof key !== 'string') {
+	const [key, value, version] = Array.isArray(row) ? row as unknown[] : [];
+	if (typeof key !== 'string' || (value !== false && typeof value !== 'string')) {
 		return undefined;
 	}
 
-	if (value === false) {
-		return {key, value: undefined, removed: true};
-	}
-
-	return typeof value === 'string' ? {key, value, removed: false} : undefined;
+	return {
+		key, value: value === false ? undefined : value, removed: value === false, ...(typeof version === 'number' ? {version} : {}),
+	};
 }
 
 function decodePlacement(origin: string, [sequence, eventGapTarget, weight, lifetime, startDelay, assignments]: readonly unknown[], now: number): Placement {
--- a/src/peers/table-transfer.ts
+++ b/src/peers/table-transfer.ts
@@ -108,7 +108,7 @@
 }
 
 function encodeSnapshot({digest, rows}: TableSnapshot): Uint8Array {
-	const body = deflateRawSync(codec.encode([digest.version, digest.checksum, rows.map(({key, value}) => [key, value ?? '']), digest.era]));
+	const body = deflateRawSync(codec.encode([digest.version, digest.checksum, rows.map(({key, value, version}) => [key, value ?? '', version]), digest.era]));
 	const length = Buffer.alloc(lengthSize);
 	length.writeUInt32BE(body.length);
 	return Buffer.concat([length, body]);
@@ -125,9 +125,11 @@
 	}
 
 	return {
-		// The era is missing in snapshots of earlier builds.
+		// The era and the versions of rows are missing in snapshots of earlier builds.
 		digest: {version: decoded[0], checksum: decoded[1], era: typeof decoded[3] === 'number' ? decoded[3] : 0},
-		rows: decoded[2].filter((row: unknown): row is [string, string] => Array.isArray(row) && typeof row[0] === 'string' && typeof row[1] === 'string')
-			.map(([key, value]) => ({key, value, removed: false})),
+		rows: decoded[2].filter((row: unknown): row is [string, string, unknown] => Array.isArray(row) && typeof row[0] === 'string' && typeof row[1] === 'string')
+			.map(([key, value, version]) => ({
+				key, value, removed: false, ...(typeof version === 'number' ? {version} : {}),
+			})),
 	};
 }
--- a/src/watch/table-replica.ts
+++ b/src/watch/table-replica.ts
@@ -44,10 +44,24 @@
 	return hash >>> 0; // eslint-disable-line no-bitwise
 }
 
-/** Replica of one table. */
+/** Most removals that are remembered; of more, the oldest ones are forgotten. */
+const maximumRemovals = 1000;
+
+type KnownRow = {value: string; hash: number; version: number};
+
+/** A row that was removed. */
+type Removal = {
+	/** Store version of the removal in the current era; 0 if it was in an earlier one. */
+	version: number;
+	/** Version of the removed row. An older copy of the store may hold it once more. */
+	rowVersion: number;
+};
+
+/** Replica of one table. Within an era it never takes a row that is older than the one it has, or than its removal. */
 export class TableReplica implements TableListener {
 	readonly #options: TableReplicaOptions;
-	readonly #rows = new Map<string, {value: string; hash: number}>();
+	readonly #rows = new Map<string, KnownRow>();
+	readonly #removals = new Map<string, Removal>();
 	#position = initialPosition;
 	#checksum = 0;
 
@@ -61,21 +75,23 @@
 
 	/** All rows, for another instance. */
 	get rows(): RowChange[] {
-		return [...this.#rows].map(([key, {value}]) => ({key, value, removed: false}));
+		return [...this.#rows].map(([key, {value, version}]) => ({
+			key, value, removed: false, version,
+		}));
 	}
 
 	onSnapshot(rows: readonly RowChange[], isAfterOutage: boolean, position: StorePosition): void {
 		const before = this.digest;
 		const changes = this.#replaceRows(rows, position);
-		this.#options.listener.onSnapshot(rows, isAfterOutage, position);
+		this.#options.listener.onSnapshot(this.rows, isAfterOutage, position);
 		this.#reportChange(before, changes);
 	}
 
 	onChanges(rows: readonly RowChange[], position: StorePosition): void {
 		const before = this.digest;
-		this.#applyChanges(rows, position);
-		this.#options.listener.onChanges(rows, position);
-		this.#reportChange(before, rows);
+		const changes = this.#applyChanges(rows, position);
+		this.#options.listener.onChanges(changes, position);
+		this.#reportChange(before, changes);
 	}
 
 	onStoreUnavailable(reason: string): void {
@@ -100,8 +116,8 @@
 			return false;
 		}
 
-		this.#applyChanges(rows, digest);
-		this.#options.listener.onChanges(rows, digest);
+		const changes = this.#applyChanges(rows, digest);
+		this.#options.listener.onChanges(changes, digest);
 		return this.#checksum === digest.checksum;
 	}
 
@@ -110,35 +126,77 @@
 		if (this.isBehind(digest)) {
 			const isNewEra = this.#position !== initialPosition && digest.era > this.#position.era;
 			this.#replaceRows(rows, digest);
-			this.#options.listener.onSnapshot(rows, isNewEra, digest);
+			this.#options.listener.onSnapshot(this.rows, isNewEra, digest);
 		}
 	}
 
-	/** Replaces all rows. @returns the new rows and the removals of rows that are no longer present. */
+	/** Replaces all rows that are not newer. @returns the changes that were made. */
 	#replaceRows(rows: readonly RowChange[], position: StorePosition): RowChange[] {
 		const present = new Set(rows.map(({key}) => key));
-		const removed = [...this.#rows.keys()].filter(key => !present.has(key)).map(key => ({key, value: undefined, removed: true}));
-		const changes = [...rows, ...removed];
-		this.#applyChanges(changes, position);
+		const removed = [...this.#rows.keys()].filter(key => !present.has(key)).map(key => ({
+			key, value: undefined, removed: true, version: position.version,
+		}));
+		return this.#applyChanges([...rows, ...removed], position);
+	}
+
+	/** Applies the changes that are not older than what is known. @returns these. */
+	#applyChanges(rows: readonly RowChange[], position: StorePosition): RowChange[] {
+		if (position.era > this.#position.era) {
+			this.#forgetVersions();
+		}
+
+		const changes = rows.filter(row => this.#isCurrent(row, position));
+		for (const row of changes) {
+			this.#applyChange(row, row.version ?? position.version);
+		}
+
+		this.#position = latestOf(this.#position, position);
 		return changes;
 	}
 
-	#applyChanges(rows: readonly RowChange[], {era, version}: StorePosition): void {
-		for (const {key, value, removed} of rows) {
-			const previous = this.#rows.get(key);
-			if (previous) {
-				this.#checksum = (this.#checksum - previous.hash) >>> 0; // eslint-disable-line no-bitwise
-				this.#rows.delete(key);
-			}
+	/** Versions of a new era cannot be compared with those known; only the row that was removed is told from one written again. */
+	#forgetVersions(): void {
+		for (const row of this.#rows.values()) {
+			row.version = 0;
+		}
 
-			if (!removed && value !== undefined) {
-				const hash = fnv1a(`${key} ${this.#options.fingerprint(key, value)}`);
-				this.#rows.set(key, {value, hash});
-				this.#checksum = (this.#checksum + hash) >>> 0; // eslint-disable-line no-bitwise
-			}
+		for (const removal of this.#removals.values()) {
+			removal.version = 0;
 		}
+	}
+
+	#isCurrent({key, removed, version}: RowChange, position: StorePosition): boolean {
+		const known = this.#rows.get(key)?.version ?? this.#removals.get(key)?.version ?? 0;
+		return (version ?? position.version) >= known && (removed || version === undefined || version !== this.#removals.get(key)?.rowVersion);
+	}
 
-		this.#position = latestOf(this.#position, {era, version});
+	#applyChange({key, value, removed}: RowChange, version: number): void {
+		const previous = this.#rows.get(key);
+		if (previous) {
+			this.#checksum = (this.#checksum - previous.hash) >>> 0; // eslint-disable-line no-bitwise
+			this.#rows.delete(key);
+		}
+
+		if (removed) {
+			this.#rememberRemoval(key, {version, rowVersion: previous?.version ?? this.#removals.get(key)?.rowVersion ?? 0});
+			return;
+		}
+
+		this.#removals.delete(key);
+		if (value !== undefined) {
+			const hash = fnv1a(`${key} ${this.#options.fingerprint(key, value)}`);
+			this.#rows.set(key, {value, hash, version});
+			this.#checksum = (this.#checksum + hash) >>> 0; // eslint-disable-line no-bitwise
+		}
+	}
+
+	#rememberRemoval(key: string, removal: Removal): void {
+		this.#removals.delete(key);
+		this.#removals.set(key, removal);
+		const [oldest] = this.#removals.keys();
+		if (this.#removals.size > maximumRemovals && oldest !== undefined) {
+			this.#removals.delete(oldest);
+		}
 	}
 
 	/** Reports changes from the store, and a new era even without changes, so that peers read before they trust their rows. */
