fix(watch): tell two configurations of one version apart

Callers would see: routes of an instance that keeps the document it knows while the store, come back from a copy, holds another one of the same version. Cause: the fingerprint of the configuration row was its version alone, so that checksums between instances were equal for two documents, and ActiveConfiguration refused the second one as not newer. An older version is still refused. The replica before it already takes no older row.

--- a/src/watch/active-configuration.ts
+++ b/src/watch/active-configuration.ts
@@ -69,15 +69,16 @@
 		this.#options.log.warn('store.lost', {table: 'configuration', version: this.version, reason});
 	}
 
-	/** Makes a configuration active if it is newer than the current one. */
+	/** Makes a configuration active unless it is older than the current one; one of the same version that reads otherwise replaces it. */
 	apply(value: string, origin: ConfigurationOrigin): void {
 		const {log, onChange} = this.#options;
 		const routes = value === this.#encodedValue ? undefined : this.#decode(value, origin);
-		if (!routes || routes.version <= this.version) {
-			if (routes) {
-				log.info('configuration.ignored', {version: routes.version, in_force: this.version, origin});
-			}
+		if (!routes) {
+			return;
+		}
 
+		if (routes.version < this.version) {
+			log.info('configuration.ignored', {version: routes.version, in_force: this.version, origin});
 			return;
 		}
 
