fix(watch): an engine that has said it leaves stays out until it restarts

Callers would see: requests sent to an engine that ends soon. Change: the catalogue remembers the starts of engines that have drained; the same start is not ready again, another is. Measured: two of four new cases fail before, all pass now.

--- a/src/watch/__tests__/engine-catalogue.test.ts
+++ b/src/watch/__tests__/engine-catalogue.test.ts
@@ -96,3 +96,22 @@
 	clock.tick(2100);
 	t.deepEqual(readyIds(), []);
 });
+
+// Guards against an older copy of the store, or a read that is behind, that makes an engine ready again that has said it leaves.
+const successions: Array<{name: string; entries: Array<string | undefined>; isReady: boolean}> = [
+	{name: 'the same start is ready once more', entries: ['ready 5', 'draining 5', 'ready 5'], isReady: false},
+	{name: 'the same start was removed and is ready once more', entries: ['ready 5', 'draining 5', undefined, 'ready 5'], isReady: false},
+	{name: 'an earlier start', entries: ['draining 5', 'ready 6'], isReady: true},
+	{name: 'an engine that never drained was removed and is ready once more', entries: ['ready 5', undefined, 'ready 5'], isReady: true},
+];
+
+for (const {name, entries, isReady} of successions) {
+	test(`an engine that has drained gets ${isReady ? 'new' : 'no new'} requests: ${name}`, t => {
+		const {catalogue, readyIds} = createCatalogue();
+		for (const entry of entries) {
+			catalogue.onChanges(rows({a: entry}));
+		}
+
+		t.deepEqual(readyIds(), isReady ? ['a'] : []);
+	});
+}
--- a/src/watch/engine-catalogue.ts
+++ b/src/watch/engine-catalogue.ts
@@ -21,12 +21,17 @@
 	onChange: (id: string, record: EngineRecord | undefined) => void;
 };
 
+/** Most engines whose draining is remembered; of more, the oldest ones are forgotten. */
+const maximumDrainedEngines = 1000;
+
 /** Known engines by id. */
 export class EngineCatalogue implements TableListener {
 	readonly #options: EngineCatalogueOptions;
 	readonly #engines = new Map<string, EngineRecord>();
 	/** Removal timers of engines whose entries went missing during or right after an outage. */
 	readonly #pendingRemovals = new Map<string, NodeJS.Timeout>();
+	/** Start times of the engines that have reported to be draining, by id. */
+	readonly #drainedStarts = new Map<string, number | undefined>();
 	#byService = new Map<string, EngineRecord[]>();
 	#isOutageOrGracePeriod = false;
 	#isRecoveringFromOutage = false;
@@ -126,7 +131,7 @@
 		this.#cancelRemoval(id);
 		const previous = this.#engines.get(id);
 		try {
-			const record = this.#options.decode(id, value ?? '');
+			const record = this.#withKnownState(this.#options.decode(id, value ?? ''));
 			this.#engines.set(id, record);
 			if (previous?.state !== record.state || previous.startedAt !== record.startedAt || previous.address !== record.address) {
 				this.#options.log.info('engine.known', {
@@ -142,6 +147,24 @@
 		}
 	}
 
+	/** An engine that drains does not become ready again until it has restarted, whatever an older copy of its entry says. */
+	#withKnownState(record: EngineRecord): EngineRecord {
+		const {id, state, startedAt} = record;
+		const hasDrained = this.#drainedStarts.has(id) && this.#drainedStarts.get(id) === startedAt;
+		if (state === 'ready') {
+			return hasDrained ? {...record, state: 'draining'} : record;
+		}
+
+		this.#drainedStarts.delete(id);
+		this.#drainedStarts.set(id, startedAt);
+		if (this.#drainedStarts.size > maximumDrainedEngines) {
+			const [oldest] = this.#drainedStarts.keys();
+			this.#drainedStarts.delete(oldest!);
+		}
+
+		return record;
+	}
+
 	/** Removes an engine whose entry is missing; around an outage only after the grace period, as entries of running engines may have expired. */
 	#handleMissing(id: string): void {
 		if (!this.#engines.has(id) || this.#pendingRemovals.has(id)) {
