fix(placement): divide the limit that an engine states among the instances

Callers and operators saw: an engine in need that had stated a limit of 1.8 requests a second got 24 in 4 s (allowed 16). Cause: nothing read the limit. Change: an engine's limit is decoded in platform/ and divided among a few owners, chosen by rendezvous hashing over the instances that use the engine, each with a token bucket. There are so few owners that their bursts stay within 0.7 of what the platform tolerates beyond the rate, in a fleet of any size; the rest covers different views of the live instances. A new owner begins with an empty bucket. Others send the engine nothing, so that no message is needed for each request; they hear of a limit or its end from the owners, also when they start. Every request, second attempt, resumed stream and engine that prefills a part counts. Long prompts leave limited engines to the others. Where all engines of a service state limits, the caller is refused at once and told when this instance's next share comes free. Ruled out: equal parts for all instances with a bucket each (195 bursts of one); counts of placements that peers report (requests without a prompt are reported to nobody in fleets over 32, and messages take time). Evidence and logs: engine.limit tells statement, change and end, by response or peer.

--- a/src/peers/__tests__/peer-datagram.property.test.ts
+++ b/src/peers/__tests__/peer-datagram.property.test.ts
@@ -16,7 +16,9 @@
 const count = fc.nat({max: 1_000_000});
 const digest = fc.record({era: count, version: count, checksum: fc.nat({max: 4_294_967_295})});
 const row = fc.oneof(
-	fc.record({key: fc.string(), value: fc.string(), removed: fc.constant(false)}),
+	fc.record({
+		key: fc.string(), value: fc.string(), removed: fc.constant(false), version: count,
+	}),
 	fc.record({key: fc.string(), value: fc.constant(undefined), removed: fc.constant(true)}),
 );
 const datagram = fc.record({
@@ -38,6 +40,7 @@
 	endedKeys: fc.array(count.map(sequence => `front-1~k3/${sequence}`), {maxLength: 4}),
 	avoidedEngines: fc.array(fc.record({engineId: id, duration: count}), {maxLength: 4}),
 	engineSlowdowns: fc.array(fc.record({engineId: id, slowdown: count}), {maxLength: 4}),
+	engineLimits: fc.array(fc.record({engineId: id, limit: fc.option(count, {nil: undefined})}), {maxLength: 4}),
 	peers: fc.array(id, {maxLength: 4}),
 	silentPeers: fc.array(fc.record({ip: id, origin: id}), {maxLength: 4}),
 });
--- a/src/peers/__tests__/peer-datagram.test.ts
+++ b/src/peers/__tests__/peer-datagram.test.ts
@@ -22,6 +22,7 @@
 	endedKeys: ['front-1~k3/10'],
 	avoidedEngines: [{engineId: 'i-2', duration: 1000}],
 	engineSlowdowns: [{engineId: 'i-3', slowdown: 2.5}],
+	engineLimits: [{engineId: 'i-4', limit: 1.8}, {engineId: 'i-5', limit: undefined}],
 	peers: ['10.0.0.1'],
 	silentPeers: [{ip: '10.0.0.2', origin: 'front-2~k1'}],
 };
--- a/src/peers/__tests__/peer-messenger.test.ts
+++ b/src/peers/__tests__/peer-messenger.test.ts
@@ -1,6 +1,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import test from 'ava';
 import {EngineHealth} from '../../placement/engine-health.js';
+import {EngineRateLimits} from '../../placement/engine-rate-limits.js';
 import {LoadTracker} from '../../placement/load-tracker.js';
 import {EventLog} from '../../telemetry/log.js';
 import {PeerMessenger} from '../peer-messenger.js';
@@ -10,16 +11,20 @@
 
 function createInstance(subnet: number, number: number) {
 	const loadTracker = new LoadTracker();
+	const log = new EventLog({write: () => undefined});
+	const rateLimits = new EngineRateLimits({ownIp: `127.${subnet}.0.${number}`, users: () => [], log});
 	const ip = `127.${subnet}.0.${number}`;
 	const messenger: PeerMessenger = new PeerMessenger({
 		subscribersOf: () => messenger.alivePeers.map(peer => peer.ip),
-		ip, port, origin: `instance-${number}~1`, loadTracker, engineHealth: new EngineHealth(), log: new EventLog({write: () => undefined}),
+		ip, port, origin: `instance-${number}~1`, loadTracker, engineHealth: new EngineHealth(), rateLimits, log,
 		replicationStatus: () => ({
 			isStoreWatcher: true, canReachStore: true, isRecoveringFromOutage: false, digests: [{era: 0, version: 0, checksum: 0}, {era: 0, version: 0, checksum: 0}],
 		}),
 		onReplicationStatus: () => undefined,
 	});
-	return {ip, messenger, loadTracker};
+	return {
+		ip, messenger, loadTracker, rateLimits,
+	};
 }
 
 test('forty instances that start with three seeds all discover each other', async t => {
@@ -110,3 +115,28 @@
 		await sleep(20); // eslint-disable-line no-await-in-loop
 	}
 }
+
+test('an engine\'s limit reaches the other instances, and one that starts later', async t => {
+	const [one, other, late] = [createInstance(24, 1), createInstance(24, 2), createInstance(24, 3)];
+	t.teardown(() => {
+		for (const {messenger} of [one, other, late]) {
+			messenger.close();
+		}
+	});
+	await one.messenger.start();
+	await other.messenger.start();
+	other.messenger.contact([one.ip]);
+	await until(() => one.messenger.peerCount === 1 && other.messenger.peerCount === 1);
+	one.rateLimits.recordResponse('e', 1.8, performance.now());
+	one.messenger.limitStated('e', 1.8, [other.ip]);
+	await until(() => other.rateLimits.isLimited('e'));
+	t.deepEqual(other.rateLimits.limits, [{engineId: 'e', limit: 1.8}]);
+
+	await late.messenger.start();
+	late.messenger.contact([one.ip]);
+	await until(() => late.rateLimits.isLimited('e'));
+	t.deepEqual(late.rateLimits.limits, [{engineId: 'e', limit: 1.8}]);
+	one.messenger.limitStated('e', undefined, [late.ip]);
+	await until(() => !late.rateLimits.isLimited('e'));
+	t.deepEqual(late.rateLimits.limits, []);
+});
--- a/src/peers/peer-datagram.ts
+++ b/src/peers/peer-datagram.ts
@@ -40,6 +40,8 @@
 	avoidedEngines: ReadonlyArray<{engineId: string; duration: number}>;
 	/** Observed factors on the published times of engines. */
 	engineSlowdowns: ReadonlyArray<{engineId: string; slowdown: number}>;
+	/** Limits that engines have stated, in requests a second; undefined where one was lifted. */
+	engineLimits: ReadonlyArray<{engineId: string; limit: number | undefined}>;
 	/** IP addresses of other instances. */
 	peers: readonly string[];
 	/** Processes that the sender monitors and has not heard from. */
@@ -49,6 +51,9 @@
 /** Encoding of an infinite gap target. */
 const noGapTarget = -1;
 
+/** Encoding of a lifted limit. */
+const noLimit = -1;
+
 /** @param now - Monotonic time in milliseconds; times in the datagram are relative to it. */
 export function encodeDatagram(datagram: PeerDatagram, now: number): Uint8Array {
 	const keyPrefixLength = datagram.origin.length + 1;
@@ -71,6 +76,7 @@
 		datagram.engineSlowdowns.map(({engineId, slowdown}) => [engineId, Math.round(slowdown * 10) / 10]),
 		datagram.peers,
 		datagram.silentPeers.map(({ip, origin}) => [ip, origin]),
+		datagram.engineLimits.map(({engineId, limit}) => [engineId, limit ?? noLimit]),
 	]);
 }
 
@@ -85,7 +91,21 @@
 /** @throws {DatagramError} If the bytes are malformed or of another version. */
 export function decodeDatagram(bytes: Uint8Array, now: number): PeerDatagram {
 	try {
-		const [receivedVersion, origin, replication, replyRequest, placements, startedKeys, endedKeys, avoidedEngines, engineSlowdowns, peers, silentPeers] = asList(codec.decode(bytes), 'datagram');
+		const [
+			receivedVersion,
+			origin,
+			replication,
+			replyRequest,
+			placements,
+			startedKeys,
+			endedKeys,
+			avoidedEngines,
+			engineSlowdowns,
+			peers,
+			silentPeers,
+			// Missing in datagrams of earlier builds.
+			engineLimits = [],
+		] = asList(codec.decode(bytes), 'datagram');
 		if (receivedVersion !== formatVersion) {
 			throw new DatagramError(`unsupported version ${String(receivedVersion)}, expected ${formatVersion}`);
 		}
@@ -106,6 +126,11 @@
 				const [engineId, slowdown] = asList(entry, 'engine slowdown');
 				return {engineId: asText(engineId, 'slow engine id'), slowdown: asNumber(slowdown, 'slowdown')};
 			}),
+			engineLimits: asList(engineLimits, 'engineLimits').map(entry => {
+				const [engineId, limit] = asList(entry, 'engine limit');
+				const requestsPerSecond = asNumber(limit, 'limit of an engine');
+				return {engineId: asText(engineId, 'limited engine id'), limit: requestsPerSecond < 0 ? undefined : requestsPerSecond};
+			}),
 			peers: asList(peers, 'peers').map(peer => asText(peer, 'peer address')),
 			silentPeers: asList(silentPeers, 'silentPeers').map(entry => {
 				const [ip, silentOrigin] = asList(entry, 'silent peer');
--- a/src/peers/peer-messenger.ts
+++ b/src/peers/peer-messenger.ts
@@ -11,6 +11,7 @@
 import {performance} from 'node:perf_hooks';
 import {errorMessage} from '../errors/errors.js';
 import type {EngineHealth} from '../placement/engine-health.js';
+import type {EngineRateLimits} from '../placement/engine-rate-limits.js';
 import type {LoadTracker, Placement} from '../placement/load-tracker.js';
 import type {PlacementListener} from '../placement/placement-coordinator.js';
 import type {EventLog} from '../telemetry/log.js';
@@ -19,6 +20,7 @@
 import type {ReplicationStatus} from '../watch/table-replication.js';
 import type {TableIndex} from './table-transfer.js';
 import {decodeDatagram, encodeDatagram, type PeerDatagram} from './peer-datagram.js';
+import {emptyBatch, PendingReports} from './pending-reports.js';
 import {heartbeatInterval, PeerMembership} from './peer-membership.js';
 
 /** Time in milliseconds for which reports are collected into one batch: urgent ones (placements, engines to avoid) and all others. */
@@ -43,6 +45,9 @@
 /** Most placements in one datagram to a new peer; with their parts they stay well below the size limit of a datagram. */
 const maximumPlacementsPerDatagram = 100;
 
+/** Most limits of engines in one datagram. */
+const maximumLimitsPerDatagram = 200;
+
 /** Options of a `PeerMessenger`. */
 export type PeerMessengerOptions = {
 	ip: string;
@@ -52,6 +57,7 @@
 	origin: string;
 	loadTracker: LoadTracker;
 	engineHealth: EngineHealth;
+	rateLimits: EngineRateLimits;
 	log: EventLog;
 	/** IP addresses of the instances that are to know a placement of this instance now. */
 	subscribersOf: (placement: Placement) => readonly string[];
@@ -61,15 +67,6 @@
 	onReplicationStatus: (ip: string, status: ReplicationStatus) => void;
 };
 
-/** Reports for one group of peers. */
-type ReportBatch = {
-	placements: Placement[];
-	startedKeys: string[];
-	endedKeys: string[];
-	avoidedEngines: Array<{engineId: string; duration: number}>;
-	engineSlowdowns: Array<{engineId: string; slowdown: number}>;
-};
-
 /** Sends the reports of this instance to its peers and processes theirs. */
 export class PeerMessenger implements PlacementListener {
 	readonly #options: PeerMessengerOptions;
@@ -77,8 +74,7 @@
 	readonly #membership: PeerMembership;
 	/** Addresses that have not replied yet, with the number of attempts to contact them. */
 	readonly #contactAttempts = new Map<string, number>();
-	/** Reports that are not sent yet, by the list of peers that they go to. */
-	#pendingReports = new Map<readonly string[], ReportBatch>();
+	readonly #pendingReports = new PendingReports();
 	/** Peers that were told of each placement of this instance. */
 	readonly #subscribersByKey = new Map<string, readonly string[]>();
 	#batchTimer: NodeJS.Timeout | undefined;
@@ -152,41 +148,34 @@
 
 	placed(placement: Placement, subscribers: readonly string[]): void {
 		this.#subscribersByKey.set(placement.key, subscribers);
-		this.#reportsTo(subscribers).placements.push(placement);
+		this.#pendingReports.for(subscribers).placements.push(placement);
 		this.#scheduleSend(true);
 	}
 
 	prefillCompleted(key: string): void {
-		this.#reportsTo(this.#subscribersByKey.get(key) ?? []).startedKeys.push(key);
+		this.#pendingReports.for(this.#subscribersByKey.get(key) ?? []).startedKeys.push(key);
 		this.#scheduleSend(false);
 	}
 
 	ended(key: string): void {
-		this.#reportsTo(this.#subscribersByKey.get(key) ?? []).endedKeys.push(key);
+		this.#pendingReports.for(this.#subscribersByKey.get(key) ?? []).endedKeys.push(key);
 		this.#subscribersByKey.delete(key);
 		this.#scheduleSend(false);
 	}
 
 	cooldownStarted(engineId: string, duration: number, subscribers: readonly string[]): void {
-		this.#reportsTo(subscribers).avoidedEngines.push({engineId, duration});
+		this.#pendingReports.for(subscribers).avoidedEngines.push({engineId, duration});
 		this.#scheduleSend(true);
 	}
 
 	slowdownChanged(engineId: string, slowdown: number, subscribers: readonly string[]): void {
-		this.#reportsTo(subscribers).engineSlowdowns.push({engineId, slowdown});
+		this.#pendingReports.for(subscribers).engineSlowdowns.push({engineId, slowdown});
 		this.#scheduleSend(false);
 	}
 
-	#reportsTo(subscribers: readonly string[]): ReportBatch {
-		let batch = this.#pendingReports.get(subscribers);
-		if (!batch) {
-			batch = {
-				placements: [], startedKeys: [], endedKeys: [], avoidedEngines: [], engineSlowdowns: [],
-			};
-			this.#pendingReports.set(subscribers, batch);
-		}
-
-		return batch;
+	limitStated(engineId: string, limit: number | undefined, subscribers: readonly string[]): void {
+		this.#pendingReports.for(subscribers).engineLimits.push({engineId, limit});
+		this.#scheduleSend(true);
 	}
 
 	#scheduleSend(isUrgent: boolean): void {
@@ -203,9 +192,7 @@
 	}
 
 	#sendReports(): void {
-		const pending = this.#pendingReports;
-		this.#pendingReports = new Map();
-		for (const [subscribers, batch] of pending) {
+		for (const [subscribers, batch] of this.#pendingReports.takeAll()) {
 			this.#sendTo(subscribers, batch);
 		}
 	}
@@ -222,7 +209,7 @@
 
 		const {origin, port, log} = this.#options;
 		const bytes = encodeDatagram({
-			origin, replication: undefined, replyRequest: 'none', placements: [], startedKeys: [], endedKeys: [], avoidedEngines: [], engineSlowdowns: [], peers: [], silentPeers: [], ...parts,
+			origin, replication: undefined, replyRequest: 'none', peers: [], silentPeers: [], ...emptyBatch(), ...parts,
 		}, performance.now());
 		for (const address of addresses) {
 			this.#socket.send(bytes, port, address, error => {
@@ -325,8 +312,13 @@
 		}
 	}
 
-	/** Sends all placements of this instance that a peer is told of, for a new or restarted one. */
+	/** Sends all placements of this instance that a peer is told of, and the known limits of engines, for a new or restarted one. */
 	#sendOwnPlacements(ip: string): void {
+		const engineLimits = this.#options.rateLimits.limits.slice(0, maximumLimitsPerDatagram);
+		if (engineLimits.length > 0) {
+			this.#sendTo([ip], {engineLimits});
+		}
+
 		const {placements, prefilledKeys} = this.#options.loadTracker.placementsOf(`${this.#options.origin}/`);
 		const told = placements.filter(placement => this.#options.subscribersOf(placement).includes(ip));
 		for (const {key} of told) {
@@ -365,8 +357,8 @@
 		}
 	}
 
-	#applyDatagram({placements, startedKeys, endedKeys, avoidedEngines, engineSlowdowns}: PeerDatagram, now: number): void {
-		const {loadTracker, engineHealth} = this.#options;
+	#applyDatagram({placements, startedKeys, endedKeys, avoidedEngines, engineSlowdowns, engineLimits}: PeerDatagram, now: number): void {
+		const {loadTracker, engineHealth, rateLimits} = this.#options;
 		for (const placement of placements) {
 			loadTracker.add(placement, now);
 		}
@@ -386,5 +378,9 @@
 		for (const {engineId, slowdown} of engineSlowdowns) {
 			engineHealth.recordSlowdown(engineId, slowdown, now);
 		}
+
+		for (const {engineId, limit} of engineLimits) {
+			rateLimits.recordReport(engineId, limit, now);
+		}
 	}
 }
--- a/src/placement/engine-subsetting.ts
+++ b/src/placement/engine-subsetting.ts
@@ -49,6 +49,7 @@
 	positions: ReadonlyMap<string, number>;
 	windowRadius: number;
 	subscribers: Map<string, readonly string[]>;
+	users: Map<string, readonly string[]>;
 };
 
 /** Subsets of one instance. */
@@ -71,6 +72,19 @@
 		return lists.length === 1 ? lists[0]! : [...new Set(lists.flat())];
 	}
 
+	/** Instances that place prompts on an engine, this one included if it does; the same list at all instances with the same view of the ring, until it changes. */
+	users(engineId: string): readonly string[] {
+		const {instances, positions, windowRadius, users} = this.#ring(this.#members.engines.get(engineId)?.service ?? '');
+		let result = users.get(engineId);
+		if (!result) {
+			const position = positions.get(engineId);
+			result = position === undefined ? [] : instances.filter((_, index) => windowRadius >= 0.5 || ringDistance((index + 0.5) / instances.length, position) <= windowRadius);
+			users.set(engineId, result);
+		}
+
+		return result;
+	}
+
 	/** Other instances that are told of a placement: those that use its engines; of a request without a prompt all or, in large fleets, none. */
 	subscribersOf({assignments}: Placement): readonly string[] {
 		if (assignments.some(({prefillTime}) => prefillTime > 0)) {
@@ -99,7 +113,7 @@
 		const positions = new Map(ordered.map((id, index) => [id, (index + 0.5) / ordered.length]));
 		const ownPosition = (Math.max(0, instances.indexOf(this.#members.ownIp)) + 0.5) / instances.length;
 		return {
-			ready, instances, positions, windowRadius, subscribers: new Map(),
+			ready, instances, positions, windowRadius, subscribers: new Map(), users: new Map(),
 			subset: windowRadius >= 0.5 ? ready : ready.filter(({id}) => ringDistance(positions.get(id)!, ownPosition) <= windowRadius),
 		};
 	}
--- a/src/placement/placement-coordinator.ts
+++ b/src/placement/placement-coordinator.ts
@@ -7,10 +7,11 @@
 import type {EngineProfile, EngineRecord, Service} from '../serving/model.js';
 import {hashPosition} from './hash-position.js';
 import type {EngineHealth} from './engine-health.js';
+import type {EngineRateLimits} from './engine-rate-limits.js';
 import type {EngineSubsetting} from './engine-subsetting.js';
 import type {LoadTracker, Placement} from './load-tracker.js';
 import {
-	longPrefillThreshold, placePrompt, type PromptCandidate, type PromptDecision, type PromptRequirements,
+	boundRetryAfter, isLongPrompt, longPrefillThreshold, placePrompt, type PromptCandidate, type PromptDecision, type PromptRequirements,
 } from './prompt-placement.js';
 import {placeServiceRequest} from './service-placement.js';
 
@@ -29,6 +30,8 @@
 	ended(key: string): void;
 	/** An engine failed or rejected a request and cools down for some milliseconds. */
 	cooldownStarted(engineId: string, duration: number, subscribers: readonly string[]): void;
+	/** An engine has stated a limit in requests a second, or lifted it. */
+	limitStated(engineId: string, limit: number | undefined, subscribers: readonly string[]): void;
 	/** An engine's slowdown changed, the factor on its published times. */
 	slowdownChanged(engineId: string, slowdown: number, subscribers: readonly string[]): void;
 }
@@ -39,6 +42,7 @@
 	subsetting: EngineSubsetting;
 	loadTracker: LoadTracker;
 	engineHealth: EngineHealth;
+	rateLimits: EngineRateLimits;
 	listener: PlacementListener;
 	failureDomain: string;
 	/** Whether other instances are known; without peers, an instance uses an order of its own, or all would fill the same engine. */
@@ -58,6 +62,25 @@
 /** Smallest change of an engine's slowdown that is reported to the other instances. */
 const reportedSlowdownChange = 0.3;
 
+/** Retry-After in milliseconds if no engine is available; engines write their entries about once a second. */
+const noEngineRetryAfter = 500;
+
+/** Retry-After in milliseconds if other instances own the limits of all engines; the caller returns to one of these. */
+const foreignLimitRetryAfter = 150;
+
+/** Where a request without a prompt goes. */
+export type ServicePlacement = {kind: 'place'; record: EngineRecord; running: number; candidates: number};
+
+/** Why a request without a prompt is refused. */
+export type ServiceRefusal = {
+	kind: 'refuse';
+	reason: 'no-engine' | 'rate-limited';
+	/** Time in milliseconds after which a retry makes sense. */
+	retryAfter: number;
+	/** Ready engines. */
+	candidates: number;
+};
+
 /** Placements of one instance. */
 export class PlacementCoordinator {
 	readonly #options: PlacementCoordinatorOptions;
@@ -75,7 +98,15 @@
 	decidePromptPlacement(service: Service, profile: EngineProfile, requirements: PromptRequirements, excluded: ReadonlySet<string>): PromptDecision & {candidates: number} {
 		const now = performance.now();
 		const {loadTracker, engineHealth, hasPeers, origin} = this.#options;
-		const candidates = this.#promptCandidates(service, excluded).map((record): PromptCandidate => ({
+		const subset = this.#promptCandidates(service, excluded);
+		const records = this.#withinLimits(subset, isLongPrompt(requirements, profile), now);
+		if (records.length === 0 && subset.length > 0) {
+			return {
+				kind: 'refuse', reason: 'rate-limited', retryAfter: boundRetryAfter(requirements, this.#timeUntilRoom(subset, now)), candidates: subset.length,
+			};
+		}
+
+		const candidates = records.map((record): PromptCandidate => ({
 			record,
 			load: loadTracker.snapshot(record.id, now),
 			slowdown: engineHealth.slowdown(record.id, now),
@@ -85,18 +116,31 @@
 		return {...placePrompt(requirements, profile, candidates), candidates: candidates.length};
 	}
 
-	/** Chooses the engine for a request without a prompt; undefined where there is none. */
-	decideServicePlacement(service: Service, excluded: ReadonlySet<string>): {record: EngineRecord; running: number; candidates: number} | undefined {
+	/** Chooses the engine for a request without a prompt. */
+	decideServicePlacement(service: Service, excluded: ReadonlySet<string>): ServicePlacement | ServiceRefusal {
 		const now = performance.now();
 		const {loadTracker, engineHealth, failureDomain} = this.#options;
-		const candidates = this.#candidates(service, excluded).map(record => ({
+		const ready = this.#candidates(service, excluded);
+		const candidates = this.#withinLimits(ready, false, now).map(record => ({
 			record,
 			running: loadTracker.snapshot(record.id, now).running,
 			isCoolingDown: engineHealth.isCoolingDown(record.id, now),
 			isInOwnFailureDomain: record.failureDomain === failureDomain,
 		}));
 		const chosen = placeServiceRequest(candidates, this.#random);
-		return chosen && {record: chosen.record, running: chosen.running, candidates: candidates.length};
+		if (chosen) {
+			return {
+				kind: 'place', record: chosen.record, running: chosen.running, candidates: candidates.length,
+			};
+		}
+
+		return ready.length > 0
+			? {
+				kind: 'refuse', reason: 'rate-limited', retryAfter: this.#timeUntilRoom(ready, now), candidates: ready.length,
+			}
+			: {
+				kind: 'refuse', reason: 'no-engine', retryAfter: noEngineRetryAfter, candidates: 0,
+			};
 	}
 
 	/**
@@ -115,6 +159,10 @@
 			key: `${this.#options.origin}/${this.#sequence}`, assignments, eventGapTarget, weight, startsAt: now + holdTime, expiresAt: now + remaining + expiryMargin,
 		};
 		this.#options.loadTracker.add(placement, now);
+		for (const {engineId} of assignments) {
+			this.#options.rateLimits.recordRequest(engineId, now);
+		}
+
 		if (assignments.some(({prefillTime}) => prefillTime >= longPrefillThreshold)) {
 			this.#longPrefills.add(placement.key);
 		}
@@ -167,6 +215,13 @@
 		}
 	}
 
+	/** Records what an engine states in a response, and reports a limit to the other instances. */
+	recordStatement(engineId: string, {requestLimit}: {requestLimit: number | undefined}): void {
+		if (this.#options.rateLimits.recordResponse(engineId, requestLimit, performance.now())) {
+			this.#options.listener.limitStated(engineId, requestLimit, this.#options.subsetting.subscribers([engineId]));
+		}
+	}
+
 	/** Records that an engine took a factor of the expected time between two events. */
 	recordSlowdown(engineId: string, factor: number): void {
 		const now = performance.now();
@@ -184,6 +239,23 @@
 		return subset.length > 0 ? subset : this.#candidates(service, excluded);
 	}
 
+	/** Engines whose limits leave room for a request of this instance. A long prompt takes several engines, so those with a limit are left to the others. */
+	#withinLimits(records: readonly EngineRecord[], isLong: boolean, now: number): readonly EngineRecord[] {
+		const {rateLimits} = this.#options;
+		const unlimited = records.filter(({id}) => !rateLimits.isLimited(id));
+		if (unlimited.length === records.length || (isLong && unlimited.length > 0)) {
+			return unlimited;
+		}
+
+		return records.filter(({id}) => rateLimits.timeUntilRoom(id, now) === 0);
+	}
+
+	/** Time in milliseconds until the limit of one of the engines leaves room. */
+	#timeUntilRoom(records: readonly EngineRecord[], now: number): number {
+		const time = Math.min(...records.map(({id}) => this.#options.rateLimits.timeUntilRoom(id, now)));
+		return Number.isFinite(time) ? time : foreignLimitRetryAfter;
+	}
+
 	/** Ready engines of a service without the excluded ones. */
 	#candidates(service: Service, excluded: ReadonlySet<string>): readonly EngineRecord[] {
 		const ready = this.#options.engines.ready(service.name);
--- a/src/placement/prompt-placement.ts
+++ b/src/placement/prompt-placement.ts
@@ -120,7 +120,7 @@
 	cost: number;
 } | {
 	kind: 'refuse';
-	reason: 'no-engine' | 'too-late' | 'overloaded' | 'does-not-fit';
+	reason: 'no-engine' | 'too-late' | 'overloaded' | 'does-not-fit' | 'rate-limited';
 	/** Time after which a retry makes sense. */
 	retryAfter: number;
 };
@@ -147,6 +147,11 @@
 	return Math.max(minimumStreamIdleTimeout, streamIdleTimeoutPerLatencyTarget * latencyTarget, Number.isFinite(eventGapTarget) ? streamIdleTimeoutPerEventGap * eventGapTarget : 0);
 }
 
+/** Whether a prompt's prefill may be split between engines. */
+export function isLongPrompt({promptTokens}: Pick<PromptRequirements, 'promptTokens'>, profile: EngineProfile): boolean {
+	return estimatePrefillTime(profile, promptTokens) >= longPrefillThreshold;
+}
+
 /** Decides where a prompt goes, or that it cannot be served in time. */
 export function placePrompt(requirements: PromptRequirements, profile: EngineProfile, candidates: readonly PromptCandidate[]): PromptDecision {
 	const fullPrefillTime = estimatePrefillTime(profile, requirements.promptTokens);
@@ -188,7 +193,7 @@
 }
 
 /** Bounds a Retry-After: a caller retries within a third of its time, or not at all. */
-function boundRetryAfter({remaining}: PromptRequirements, desired: number): number {
+export function boundRetryAfter({remaining}: Pick<PromptRequirements, 'remaining'>, desired: number): number {
 	return Math.max(minimumRetryAfter, Math.min(desired, remaining / 3));
 }
 
--- a/src/serving/__tests__/engine-chooser.test.ts
+++ b/src/serving/__tests__/engine-chooser.test.ts
@@ -2,6 +2,7 @@
 import fakeTimers from '@sinonjs/fake-timers';
 import test from 'ava';
 import {EngineHealth} from '../../placement/engine-health.js';
+import {EngineRateLimits} from '../../placement/engine-rate-limits.js';
 import {EngineSubsetting} from '../../placement/engine-subsetting.js';
 import {LoadTracker} from '../../placement/load-tracker.js';
 import {PlacementCoordinator} from '../../placement/placement-coordinator.js';
@@ -51,14 +52,15 @@
 	const ignore = () => undefined;
 	const engines = {ready: () => readyEngines, get: (id: string) => readyEngines.find(engine => engine.id === id)};
 	const ring = ['127.0.0.1'];
+	const log = new EventLog({write: ignore});
+	const subsetting = new EngineSubsetting({ownIp: ring[0]!, instances: () => ring, engines});
 	const placementCoordinator = new PlacementCoordinator({
-		engines, subsetting: new EngineSubsetting({ownIp: ring[0]!, instances: () => ring, engines}), loadTracker,
+		engines, subsetting, loadTracker, rateLimits: new EngineRateLimits({ownIp: ring[0]!, users: id => subsetting.users(id), log}),
 		engineHealth: new EngineHealth(), failureDomain: 'a', origin: 'self', hasPeers: () => true,
 		listener: {
-			placed: ignore, prefillCompleted: ignore, ended: ignore, cooldownStarted: ignore, slowdownChanged: ignore,
+			placed: ignore, prefillCompleted: ignore, ended: ignore, cooldownStarted: ignore, limitStated: ignore, slowdownChanged: ignore,
 		},
 	});
-	const log = new EventLog({write: ignore});
 	const chooser = new EngineChooser({
 		placementCoordinator, log, onMisdirected: ignore, peersKnown, random,
 		reservations: {
--- a/src/serving/engine-attempt.ts
+++ b/src/serving/engine-attempt.ts
@@ -41,6 +41,8 @@
 export interface EngineAttemptListener {
 	/** Called each time a timeout in milliseconds passes without an event or complete response. The attempt continues. */
 	onIdle(timeout: number): void;
+	/** Called when the headers of a response of the engine itself were received, whatever its status. */
+	onResponse(headerValues: ResponseHeaderValues): void;
 	/** Called when an event was forwarded. @param gap - Time in milliseconds since the previous event, or since the start. */
 	onEvent(id: number | undefined, gap: number): void;
 	/** Called once, when the attempt has ended. */
@@ -123,6 +125,10 @@
 		const headerValues = this.#options.protocol.parseResponseHeaders(head.headers);
 		this.#responseHead = head;
 		this.#headerValues = headerValues;
+		if (head.status !== misdirectedRequestStatus) {
+			this.#options.listener.onResponse(headerValues);
+		}
+
 		if (headerValues.requestId !== undefined && headerValues.requestId !== this.#options.requestId) {
 			this.#finish({kind: 'broken', reason: `response belongs to another request "${headerValues.requestId}"`});
 			return;
--- a/src/serving/engine-chooser.ts
+++ b/src/serving/engine-chooser.ts
@@ -5,14 +5,14 @@
  */
 import {performance} from 'node:perf_hooks';
 import type {ErrorCode} from '../errors/catalogue.js';
-import type {PlacementCoordinator} from '../placement/placement-coordinator.js';
+import type {PlacementCoordinator, ServiceRefusal} from '../placement/placement-coordinator.js';
 import {streamIdleTimeout, type PromptDecision, type PromptProgress} from '../placement/prompt-placement.js';
 import {estimateIterationTime} from '../placement/time-estimates.js';
 import {Reservations, type ReservationsOptions} from '../placement/reservations.js';
 import {delay} from '../request/time-limit.js';
 import type {EventLog} from '../telemetry/log.js';
 import type {
-	EngineProfile, EngineRecord, RequestHeaderValues, Route, Service,
+	EngineProfile, EngineRecord, RequestHeaderValues, ResponseHeaderValues, Route, Service,
 } from './model.js';
 
 /** What is known about a request when an engine is chosen for it. */
@@ -44,6 +44,8 @@
 	firstEventTimeout: number;
 	/** Time in milliseconds between two events after which the engine counts as idle; it grows with the engine's prefill backlog. */
 	eventGapTimeout: () => number;
+	/** Records what the headers of a response say about the engine. */
+	recordResponse(headerValues: ResponseHeaderValues): void;
 	/** Records an event. @param gap - Time in milliseconds since the previous one. */
 	recordEvent(gap: number): void;
 	/** Records that the engine failed the request by its own fault. */
@@ -92,8 +94,8 @@
 /** Share by which the Retry-After of a refused prompt is shortened at random, so that the callers refused in one burst don't return together. */
 const retryAfterSpread = 0.25;
 
-/** Retry-After in milliseconds if no engine is available; engines write their entries about once a second. */
-const noEngineRetryAfter = 500;
+/** Retry-After in milliseconds of a prompt for which no placement held. */
+const failedPlacementRetryAfter = 500;
 
 /** Shortest first-event timeout of a prompt in milliseconds. */
 const minimumFirstEventTimeout = 700;
@@ -117,7 +119,12 @@
 
 /** Error codes of refused prompts by the reason of the refusal. */
 const refusalCodes: Readonly<Record<Extract<PromptDecision, {kind: 'refuse'}>['reason'], ErrorCode>> = {
-	'no-engine': '3005', 'too-late': '3004', overloaded: '3002', 'does-not-fit': '3002',
+	'no-engine': '3005', 'too-late': '3004', overloaded: '3002', 'does-not-fit': '3002', 'rate-limited': '3002',
+};
+
+/** Texts for the refusals of requests without a prompt, before the name of the service. */
+const refusalReasons: Readonly<Record<ServiceRefusal['reason'], string>> = {
+	'no-engine': 'no engine is ready of service', 'rate-limited': 'all ready engines limit their requests of service',
 };
 
 /** Share of the route's timeout; a caller that states less time is taken to be retrying a request that was refused before. */
@@ -148,17 +155,12 @@
 
 	#chooseForServiceRequest({requestId, service, route, excluded, remaining, attempt}: EngineChoiceInput): EngineChoiceResult {
 		const {placementCoordinator, log} = this.#options;
-		const chosen = placementCoordinator.decideServicePlacement(service, excluded);
-		if (!chosen) {
-			log.warn('placement.refused', {
-				request: requestId, service: service.name, reason: 'no-engine', excluded: excluded.size,
-			});
-			return {
-				kind: 'refused', code: '3005', reason: `no engine of service "${service.name}" is ready`, retryAfter: noEngineRetryAfter, isTransient: true,
-			};
+		const decision = placementCoordinator.decideServicePlacement(service, excluded);
+		if (decision.kind === 'refuse') {
+			return this.#refuseServiceRequest(requestId, service, decision);
 		}
 
-		const {record, running, candidates} = chosen;
+		const {record, running, candidates} = decision;
 		log.info('placement.decided', {
 			request: requestId, service: service.name, engine: record.id, running, candidates, attempt, remaining: Math.round(remaining),
 		});
@@ -181,6 +183,15 @@
 		};
 	}
 
+	#refuseServiceRequest(requestId: string, service: Service, {reason, retryAfter, candidates}: ServiceRefusal): EngineChoiceResult {
+		this.#options.log.warn('placement.refused', {
+			request: requestId, service: service.name, reason, candidates, retry_after: Math.round(retryAfter),
+		});
+		return {
+			kind: 'refused', code: refusalCodes[reason], reason: `${refusalReasons[reason]} "${service.name}"`, retryAfter, isTransient: true,
+		};
+	}
+
 	async #chooseForPrompt(input: EngineChoiceInput, profile: EngineProfile, promptTokens: number): Promise<EngineChoiceResult> {
 		const {route, headerValues, service, remaining, requestId} = input;
 		const {placementCoordinator, log} = this.#options;
@@ -240,7 +251,7 @@
 
 		log.warn('placement.refused', {request: requestId, service: service.name, reason: 'no-placement-held'});
 		return {
-			kind: 'refused', code: '3004', reason: 'every chosen engine lacked memory to reserve or stopped accepting requests', retryAfter: noEngineRetryAfter, isTransient: true,
+			kind: 'refused', code: '3004', reason: 'every chosen engine lacked memory to reserve or stopped accepting requests', retryAfter: failedPlacementRetryAfter, isTransient: true,
 		};
 	}
 
@@ -291,6 +302,9 @@
 		const {placementCoordinator, onMisdirected, log} = this.#options;
 		let eventCount = 0;
 		return {
+			recordResponse({requestLimit}: ResponseHeaderValues) {
+				placementCoordinator.recordStatement(record.id, {requestLimit});
+			},
 			recordEvent(gap: number) {
 				eventCount += 1;
 				if (eventCount === 1) {
--- a/src/serving/hedged-attempts.ts
+++ b/src/serving/hedged-attempts.ts
@@ -96,6 +96,9 @@
 				onIdle: timeout => {
 					void this.#hedge(inFlight, timeout);
 				},
+				onResponse(headerValues) {
+					engine.recordResponse(headerValues);
+				},
 				onEvent: (id, gap) => {
 					this.#onEvent(id, gap, inFlight);
 				},
--- a/src/serving/model.ts
+++ b/src/serving/model.ts
@@ -157,6 +157,8 @@
 	isEventStream: boolean;
 	/** Engine at which a split prefill failed, as "IP:port" or its id. */
 	faultyEngine: string | undefined;
+	/** Requests a second that the engine accepts from all instances together; undefined if it states none. */
+	requestLimit: number | undefined;
 };
 
 /** How the headers of requests and responses are parsed and built. */
--- a/src/serving/serving-instance.ts
+++ b/src/serving/serving-instance.ts
@@ -9,6 +9,7 @@
 import {delay} from '../request/time-limit.js';
 import {fetchTableSnapshot, type TableIndex, TableServer} from '../peers/table-transfer.js';
 import {EngineHealth} from '../placement/engine-health.js';
+import {EngineRateLimits} from '../placement/engine-rate-limits.js';
 import {EngineSubsetting} from '../placement/engine-subsetting.js';
 import {LoadTracker} from '../placement/load-tracker.js';
 import {PlacementCoordinator} from '../placement/placement-coordinator.js';
@@ -98,6 +99,7 @@
 	readonly #metrics = new ServingMetrics();
 	readonly #loadTracker = new LoadTracker();
 	readonly #engineHealth = new EngineHealth();
+	readonly #rateLimits: EngineRateLimits;
 	readonly #configuration: ActiveConfiguration;
 	readonly #engines: EngineCatalogue;
 	readonly #tables: readonly [ReplicatedTable, ReplicatedTable];
@@ -133,8 +135,9 @@
 		});
 		const replicationStatus = () => this.#replication.status;
 		const subsetting = new EngineSubsetting({ownIp: ip, instances: () => this.#peerMessenger.ring, engines: this.#engines});
+		this.#rateLimits = new EngineRateLimits({ownIp: ip, users: engineId => subsetting.users(engineId), log});
 		this.#peerMessenger = new PeerMessenger({
-			ip, port: options.peerPort, origin, loadTracker: this.#loadTracker, engineHealth: this.#engineHealth, log, replicationStatus,
+			ip, port: options.peerPort, origin, loadTracker: this.#loadTracker, engineHealth: this.#engineHealth, rateLimits: this.#rateLimits, log, replicationStatus,
 			subscribersOf: placement => subsetting.subscribersOf(placement),
 			onReplicationStatus: (peer, status) => {
 				this.#replication.receive(peer, status);
@@ -160,7 +163,7 @@
 		});
 		this.#tableServer = new TableServer(table => ({digest: this.#tables[table].replica.digest, rows: this.#tables[table].replica.rows}));
 		const placementCoordinator = new PlacementCoordinator({
-			engines: this.#engines, subsetting, loadTracker: this.#loadTracker, engineHealth: this.#engineHealth, listener: this.#peerMessenger, failureDomain, origin,
+			engines: this.#engines, subsetting, loadTracker: this.#loadTracker, engineHealth: this.#engineHealth, rateLimits: this.#rateLimits, listener: this.#peerMessenger, failureDomain, origin,
 			hasPeers: () => this.#peerMessenger.peerCount > 0,
 		});
 		const chooser = new EngineChooser({
@@ -296,6 +299,7 @@
 		if (record === undefined || record.state === 'ready') {
 			this.#loadTracker.removeEngine(id);
 			this.#engineHealth.reset(id);
+			this.#rateLimits.reset(id);
 		}
 	}
 
