feat(placement): engines that say they leave, and engines that ask for a pause

An engine's Server-Leaving takes it out at this instance at once, whatever its entry says or an older copy of it, until a new start; the catalogue of engines holds it, so that queued, held, hedged and resumed requests and engines that prefill a part are covered by the one question whether an engine is ready. Retry-After of an engine's 503 (seconds with a fraction, or a date) keeps this instance away for so long; zero, the past and nonsense ask for nothing. Where all engines pause, the caller is refused at once with the earliest end. Pauses and limits outlive the removal of an entry, which may only have expired, and end with a new start. Not built: what an engine answers to orders (reservations) is not read; peers are not told that an engine leaves.

--- a/src/placement/engine-rate-limits.ts
+++ b/src/placement/engine-rate-limits.ts
@@ -35,6 +35,9 @@
 /** Time in milliseconds between two reports of an unchanged limit to other instances. */
 const reportInterval = 1000;
 
+/** Most engines whose limits are remembered; of more, the oldest ones are forgotten. */
+const maximumLimitedEngines = 1000;
+
 /** A limit in requests a second; undefined if the engine states none. */
 export type StatedLimit = number | undefined;
 
@@ -107,7 +110,7 @@
 		}
 	}
 
-	/** Forgets an engine that has gone or started again. */
+	/** Forgets an engine that has started again. */
 	reset(engineId: string): void {
 		this.#engines.delete(engineId);
 	}
@@ -143,6 +146,11 @@
 			limit, changedAt: now, statedAt: now, reportedAt: Number.NEGATIVE_INFINITY, users: undefined, isOwner: false, bucket: undefined,
 		};
 		this.#engines.set(engineId, engine);
+		const [oldest] = this.#engines.keys();
+		if (this.#engines.size > maximumLimitedEngines && oldest !== undefined) {
+			this.#engines.delete(oldest);
+		}
+
 		this.#options.log.info('engine.limit', {
 			engine: engineId, limit, before: known?.limit, origin,
 		});
--- a/src/placement/placement-coordinator.ts
+++ b/src/placement/placement-coordinator.ts
@@ -4,9 +4,13 @@
  * @module
  */
 import {performance} from 'node:perf_hooks';
-import type {EngineProfile, EngineRecord, Service} from '../serving/model.js';
+import type {
+	EngineProfile, EngineRecord, ResponseHeaderValues, Service,
+} from '../serving/model.js';
+import type {EventLog} from '../telemetry/log.js';
 import {hashPosition} from './hash-position.js';
 import type {EngineHealth} from './engine-health.js';
+import type {EnginePauses} from './engine-pauses.js';
 import type {EngineRateLimits} from './engine-rate-limits.js';
 import type {EngineSubsetting} from './engine-subsetting.js';
 import type {LoadTracker, Placement} from './load-tracker.js';
@@ -43,6 +47,10 @@
 	loadTracker: LoadTracker;
 	engineHealth: EngineHealth;
 	rateLimits: EngineRateLimits;
+	pauses: EnginePauses;
+	/** Called when an engine states that it is about to leave. */
+	onLeaving: (engineId: string) => void;
+	log: EventLog;
 	listener: PlacementListener;
 	failureDomain: string;
 	/** Whether other instances are known; without peers, an instance uses an order of its own, or all would fill the same engine. */
@@ -68,13 +76,19 @@
 /** Retry-After in milliseconds if other instances own the limits of all engines; the caller returns to one of these. */
 const foreignLimitRetryAfter = 150;
 
+/** HTTP status with which an engine turns a request away. */
+const unavailableStatus = 503;
+
+/** What a response says about the engine that sent it. */
+export type EngineStatement = Pick<ResponseHeaderValues, 'requestLimit' | 'isLeaving' | 'retryAfter'>;
+
 /** Where a request without a prompt goes. */
 export type ServicePlacement = {kind: 'place'; record: EngineRecord; running: number; candidates: number};
 
 /** Why a request without a prompt is refused. */
 export type ServiceRefusal = {
 	kind: 'refuse';
-	reason: 'no-engine' | 'rate-limited';
+	reason: 'no-engine' | 'rate-limited' | 'paused';
 	/** Time in milliseconds after which a retry makes sense. */
 	retryAfter: number;
 	/** Ready engines. */
@@ -99,11 +113,10 @@
 		const now = performance.now();
 		const {loadTracker, engineHealth, hasPeers, origin} = this.#options;
 		const subset = this.#promptCandidates(service, excluded);
-		const records = this.#withinLimits(subset, isLongPrompt(requirements, profile), now);
+		const records = this.#accepting(subset, isLongPrompt(requirements, profile), now);
 		if (records.length === 0 && subset.length > 0) {
-			return {
-				kind: 'refuse', reason: 'rate-limited', retryAfter: boundRetryAfter(requirements, this.#timeUntilRoom(subset, now)), candidates: subset.length,
-			};
+			const refusal = this.#refuseForNow(subset, now);
+			return {...refusal, retryAfter: boundRetryAfter(requirements, refusal.retryAfter)};
 		}
 
 		const candidates = records.map((record): PromptCandidate => ({
@@ -121,7 +134,7 @@
 		const now = performance.now();
 		const {loadTracker, engineHealth, failureDomain} = this.#options;
 		const ready = this.#candidates(service, excluded);
-		const candidates = this.#withinLimits(ready, false, now).map(record => ({
+		const candidates = this.#accepting(ready, false, now).map(record => ({
 			record,
 			running: loadTracker.snapshot(record.id, now).running,
 			isCoolingDown: engineHealth.isCoolingDown(record.id, now),
@@ -135,9 +148,7 @@
 		}
 
 		return ready.length > 0
-			? {
-				kind: 'refuse', reason: 'rate-limited', retryAfter: this.#timeUntilRoom(ready, now), candidates: ready.length,
-			}
+			? this.#refuseForNow(ready, now)
 			: {
 				kind: 'refuse', reason: 'no-engine', retryAfter: noEngineRetryAfter, candidates: 0,
 			};
@@ -171,9 +182,9 @@
 		return placement.key;
 	}
 
-	/** Whether an engine still accepts new requests. */
-	isReady(service: Service, engineId: string): boolean {
-		return this.#options.engines.ready(service.name).some(({id}) => id === engineId);
+	/** Whether an engine still accepts new requests of this instance. */
+	isAccepting(service: Service, engineId: string): boolean {
+		return this.#options.engines.ready(service.name).some(({id}) => id === engineId) && this.#options.pauses.timeLeft(engineId, performance.now()) === 0;
 	}
 
 	/** Time in milliseconds until an engine has prefilled what is placed there. */
@@ -215,10 +226,20 @@
 		}
 	}
 
-	/** Records what an engine states in a response, and reports a limit to the other instances. */
-	recordStatement(engineId: string, {requestLimit}: {requestLimit: number | undefined}): void {
-		if (this.#options.rateLimits.recordResponse(engineId, requestLimit, performance.now())) {
-			this.#options.listener.limitStated(engineId, requestLimit, this.#options.subsetting.subscribers([engineId]));
+	/** Records what an engine states about itself in a response. */
+	recordResponse(engineId: string, status: number, {requestLimit, isLeaving, retryAfter}: EngineStatement): void {
+		const now = performance.now();
+		const {rateLimits, pauses, listener, subsetting, log, onLeaving} = this.#options;
+		if (isLeaving) {
+			onLeaving(engineId);
+		}
+
+		if (status === unavailableStatus && retryAfter !== undefined && pauses.record(engineId, retryAfter, now)) {
+			log.info('engine.pause', {engine: engineId, duration: Math.round(retryAfter)});
+		}
+
+		if (rateLimits.recordResponse(engineId, requestLimit, now)) {
+			listener.limitStated(engineId, requestLimit, subsetting.subscribers([engineId]));
 		}
 	}
 
@@ -239,21 +260,31 @@
 		return subset.length > 0 ? subset : this.#candidates(service, excluded);
 	}
 
-	/** Engines whose limits leave room for a request of this instance. A long prompt takes several engines, so those with a limit are left to the others. */
-	#withinLimits(records: readonly EngineRecord[], isLong: boolean, now: number): readonly EngineRecord[] {
-		const {rateLimits} = this.#options;
-		const unlimited = records.filter(({id}) => !rateLimits.isLimited(id));
-		if (unlimited.length === records.length || (isLong && unlimited.length > 0)) {
+	/**
+	 * Engines that have not asked for a pause and whose limits leave room for a request of this instance. A long prompt takes
+	 * several engines, so those with a limit are left to the others.
+	 */
+	#accepting(records: readonly EngineRecord[], isLong: boolean, now: number): readonly EngineRecord[] {
+		const {rateLimits, pauses} = this.#options;
+		const running = records.filter(({id}) => pauses.timeLeft(id, now) === 0);
+		const unlimited = running.filter(({id}) => !rateLimits.isLimited(id));
+		if (unlimited.length === running.length || (isLong && unlimited.length > 0)) {
 			return unlimited;
 		}
 
-		return records.filter(({id}) => rateLimits.timeUntilRoom(id, now) === 0);
+		return running.filter(({id}) => rateLimits.timeUntilRoom(id, now) === 0);
 	}
 
-	/** Time in milliseconds until the limit of one of the engines leaves room. */
-	#timeUntilRoom(records: readonly EngineRecord[], now: number): number {
-		const time = Math.min(...records.map(({id}) => this.#options.rateLimits.timeUntilRoom(id, now)));
-		return Number.isFinite(time) ? time : foreignLimitRetryAfter;
+	/** Refusal of a request that no engine accepts from this instance now. */
+	#refuseForNow(records: readonly EngineRecord[], now: number): {kind: 'refuse'; reason: 'paused' | 'rate-limited'; retryAfter: number; candidates: number} {
+		const {rateLimits, pauses} = this.#options;
+		const time = Math.min(...records.map(({id}) => Math.max(pauses.timeLeft(id, now), rateLimits.timeUntilRoom(id, now))));
+		return {
+			kind: 'refuse',
+			reason: records.every(({id}) => pauses.timeLeft(id, now) > 0) ? 'paused' : 'rate-limited',
+			retryAfter: Number.isFinite(time) ? time : foreignLimitRetryAfter,
+			candidates: records.length,
+		};
 	}
 
 	/** Ready engines of a service without the excluded ones. */
--- a/src/placement/prompt-placement.ts
+++ b/src/placement/prompt-placement.ts
@@ -120,7 +120,7 @@
 	cost: number;
 } | {
 	kind: 'refuse';
-	reason: 'no-engine' | 'too-late' | 'overloaded' | 'does-not-fit' | 'rate-limited';
+	reason: 'no-engine' | 'too-late' | 'overloaded' | 'does-not-fit' | 'rate-limited' | 'paused';
 	/** Time after which a retry makes sense. */
 	retryAfter: number;
 };
--- a/src/serving/__tests__/engine-chooser.test.ts
+++ b/src/serving/__tests__/engine-chooser.test.ts
@@ -2,6 +2,7 @@
 import fakeTimers from '@sinonjs/fake-timers';
 import test from 'ava';
 import {EngineHealth} from '../../placement/engine-health.js';
+import {EnginePauses} from '../../placement/engine-pauses.js';
 import {EngineRateLimits} from '../../placement/engine-rate-limits.js';
 import {EngineSubsetting} from '../../placement/engine-subsetting.js';
 import {LoadTracker} from '../../placement/load-tracker.js';
@@ -56,7 +57,7 @@
 	const subsetting = new EngineSubsetting({ownIp: ring[0]!, instances: () => ring, engines});
 	const placementCoordinator = new PlacementCoordinator({
 		engines, subsetting, loadTracker, rateLimits: new EngineRateLimits({ownIp: ring[0]!, users: id => subsetting.users(id), log}),
-		engineHealth: new EngineHealth(), failureDomain: 'a', origin: 'self', hasPeers: () => true,
+		engineHealth: new EngineHealth(), pauses: new EnginePauses(), onLeaving: ignore, log, failureDomain: 'a', origin: 'self', hasPeers: () => true,
 		listener: {
 			placed: ignore, prefillCompleted: ignore, ended: ignore, cooldownStarted: ignore, limitStated: ignore, slowdownChanged: ignore,
 		},
--- a/src/serving/engine-attempt.ts
+++ b/src/serving/engine-attempt.ts
@@ -42,7 +42,7 @@
 	/** Called each time a timeout in milliseconds passes without an event or complete response. The attempt continues. */
 	onIdle(timeout: number): void;
 	/** Called when the headers of a response of the engine itself were received, whatever its status. */
-	onResponse(headerValues: ResponseHeaderValues): void;
+	onResponse(status: number, headerValues: ResponseHeaderValues): void;
 	/** Called when an event was forwarded. @param gap - Time in milliseconds since the previous event, or since the start. */
 	onEvent(id: number | undefined, gap: number): void;
 	/** Called once, when the attempt has ended. */
@@ -126,7 +126,7 @@
 		this.#responseHead = head;
 		this.#headerValues = headerValues;
 		if (head.status !== misdirectedRequestStatus) {
-			this.#options.listener.onResponse(headerValues);
+			this.#options.listener.onResponse(head.status, headerValues);
 		}
 
 		if (headerValues.requestId !== undefined && headerValues.requestId !== this.#options.requestId) {
--- a/src/serving/engine-chooser.ts
+++ b/src/serving/engine-chooser.ts
@@ -45,7 +45,7 @@
 	/** Time in milliseconds between two events after which the engine counts as idle; it grows with the engine's prefill backlog. */
 	eventGapTimeout: () => number;
 	/** Records what the headers of a response say about the engine. */
-	recordResponse(headerValues: ResponseHeaderValues): void;
+	recordResponse(status: number, headerValues: ResponseHeaderValues): void;
 	/** Records an event. @param gap - Time in milliseconds since the previous one. */
 	recordEvent(gap: number): void;
 	/** Records that the engine failed the request by its own fault. */
@@ -119,12 +119,12 @@
 
 /** Error codes of refused prompts by the reason of the refusal. */
 const refusalCodes: Readonly<Record<Extract<PromptDecision, {kind: 'refuse'}>['reason'], ErrorCode>> = {
-	'no-engine': '3005', 'too-late': '3004', overloaded: '3002', 'does-not-fit': '3002', 'rate-limited': '3002',
+	'no-engine': '3005', 'too-late': '3004', overloaded: '3002', 'does-not-fit': '3002', 'rate-limited': '3002', paused: '3002',
 };
 
 /** Texts for the refusals of requests without a prompt, before the name of the service. */
 const refusalReasons: Readonly<Record<ServiceRefusal['reason'], string>> = {
-	'no-engine': 'no engine is ready of service', 'rate-limited': 'all ready engines limit their requests of service',
+	'no-engine': 'no engine is ready of service', 'rate-limited': 'all ready engines limit their requests of service', paused: 'all ready engines have asked for a pause of service',
 };
 
 /** Share of the route's timeout; a caller that states less time is taken to be retrying a request that was refused before. */
@@ -232,10 +232,10 @@
 			}
 
 			await delay(decision.holdTime, input.signal); // eslint-disable-line no-await-in-loop
-			const departedEngine = [decision.primary, ...decision.prefillHelpers.map(({record}) => record)].find(({id}) => !placementCoordinator.isReady(service, id));
+			const departedEngine = [decision.primary, ...decision.prefillHelpers.map(({record}) => record)].find(({id}) => !placementCoordinator.isAccepting(service, id));
 			if (departedEngine) {
 				log.info('placement.withdrawn', {
-					request: requestId, engine: departedEngine.id, reason: 'engine no longer ready after the hold time', held: Math.round(decision.holdTime),
+					request: requestId, engine: departedEngine.id, reason: 'engine no longer accepts requests after the hold time', held: Math.round(decision.holdTime),
 				});
 				reservations.release();
 				placementCoordinator.endPlacement(placementKey);
@@ -302,8 +302,8 @@
 		const {placementCoordinator, onMisdirected, log} = this.#options;
 		let eventCount = 0;
 		return {
-			recordResponse({requestLimit}: ResponseHeaderValues) {
-				placementCoordinator.recordStatement(record.id, {requestLimit});
+			recordResponse(status: number, headerValues: ResponseHeaderValues) {
+				placementCoordinator.recordResponse(record.id, status, headerValues);
 			},
 			recordEvent(gap: number) {
 				eventCount += 1;
--- a/src/serving/hedged-attempts.ts
+++ b/src/serving/hedged-attempts.ts
@@ -96,8 +96,8 @@
 				onIdle: timeout => {
 					void this.#hedge(inFlight, timeout);
 				},
-				onResponse(headerValues) {
-					engine.recordResponse(headerValues);
+				onResponse(status, headerValues) {
+					engine.recordResponse(status, headerValues);
 				},
 				onEvent: (id, gap) => {
 					this.#onEvent(id, gap, inFlight);
--- a/src/serving/model.ts
+++ b/src/serving/model.ts
@@ -159,6 +159,10 @@
 	faultyEngine: string | undefined;
 	/** Requests a second that the engine accepts from all instances together; undefined if it states none. */
 	requestLimit: number | undefined;
+	/** Whether the engine is about to leave and accepts nothing new for long. */
+	isLeaving: boolean;
+	/** Time for which the engine asks this instance to send it nothing; undefined if it does not ask. */
+	retryAfter: number | undefined;
 };
 
 /** How the headers of requests and responses are parsed and built. */
--- a/src/serving/serving-instance.ts
+++ b/src/serving/serving-instance.ts
@@ -9,6 +9,7 @@
 import {delay} from '../request/time-limit.js';
 import {fetchTableSnapshot, type TableIndex, TableServer} from '../peers/table-transfer.js';
 import {EngineHealth} from '../placement/engine-health.js';
+import {EnginePauses} from '../placement/engine-pauses.js';
 import {EngineRateLimits} from '../placement/engine-rate-limits.js';
 import {EngineSubsetting} from '../placement/engine-subsetting.js';
 import {LoadTracker} from '../placement/load-tracker.js';
@@ -100,6 +101,7 @@
 	readonly #loadTracker = new LoadTracker();
 	readonly #engineHealth = new EngineHealth();
 	readonly #rateLimits: EngineRateLimits;
+	readonly #pauses = new EnginePauses();
 	readonly #configuration: ActiveConfiguration;
 	readonly #engines: EngineCatalogue;
 	readonly #tables: readonly [ReplicatedTable, ReplicatedTable];
@@ -129,8 +131,8 @@
 		});
 		this.#engines = new EngineCatalogue({
 			log, decode: tables.engines.decode,
-			onChange: (id, record) => {
-				this.#handleEngineChange(id, record);
+			onChange: (id, record, hasRestarted) => {
+				this.#handleEngineChange(id, record, hasRestarted);
 			},
 		});
 		const replicationStatus = () => this.#replication.status;
@@ -163,8 +165,12 @@
 		});
 		this.#tableServer = new TableServer(table => ({digest: this.#tables[table].replica.digest, rows: this.#tables[table].replica.rows}));
 		const placementCoordinator = new PlacementCoordinator({
-			engines: this.#engines, subsetting, loadTracker: this.#loadTracker, engineHealth: this.#engineHealth, rateLimits: this.#rateLimits, listener: this.#peerMessenger, failureDomain, origin,
+			engines: this.#engines, subsetting, loadTracker: this.#loadTracker, engineHealth: this.#engineHealth,
+			rateLimits: this.#rateLimits, pauses: this.#pauses, log, listener: this.#peerMessenger, failureDomain, origin,
 			hasPeers: () => this.#peerMessenger.peerCount > 0,
+			onLeaving: id => {
+				this.#engines.recordLeaving(id);
+			},
 		});
 		const chooser = new EngineChooser({
 			placementCoordinator, log, peersKnown: this.#peersKnown,
@@ -295,11 +301,16 @@
 		return {name, replica, watch};
 	}
 
-	#handleEngineChange(id: string, record: EngineRecord | undefined): void {
+	#handleEngineChange(id: string, record: EngineRecord | undefined, hasRestarted: boolean): void {
 		if (record === undefined || record.state === 'ready') {
 			this.#loadTracker.removeEngine(id);
 			this.#engineHealth.reset(id);
+		}
+
+		// What an engine has asked for holds beyond a removal of its entry, which may only have expired.
+		if (hasRestarted) {
 			this.#rateLimits.reset(id);
+			this.#pauses.reset(id);
 		}
 	}
 
--- a/src/watch/engine-catalogue.ts
+++ b/src/watch/engine-catalogue.ts
@@ -17,12 +17,15 @@
 	log: EventLog;
 	/** Decodes one entry. @throws if it does not describe a usable engine. */
 	decode: (id: string, value: string) => EngineRecord;
-	/** Called with a new engine, one whose state, start time or address has changed, and, with `undefined`, one that was removed. */
-	onChange: (id: string, record: EngineRecord | undefined) => void;
+	/** Called with a new engine, one whose state, start time or address has changed, and, with `undefined`, one that was removed. @param hasRestarted - Whether another start was known under its id. */
+	onChange: (id: string, record: EngineRecord | undefined, hasRestarted: boolean) => void;
 };
 
-/** Most engines whose draining is remembered; of more, the oldest ones are forgotten. */
-const maximumDrainedEngines = 1000;
+/** Most engines whose last start is remembered, also after they were removed; of more, the oldest ones are forgotten. */
+const maximumRememberedStarts = 1000;
+
+/** The last known start of an engine. */
+type EngineStart = {startedAt: number | undefined; hasDrained: boolean};
 
 /** Known engines by id. */
 export class EngineCatalogue implements TableListener {
@@ -30,8 +33,7 @@
 	readonly #engines = new Map<string, EngineRecord>();
 	/** Removal timers of engines whose entries went missing during or right after an outage. */
 	readonly #pendingRemovals = new Map<string, NodeJS.Timeout>();
-	/** Start times of the engines that have reported to be draining, by id. */
-	readonly #drainedStarts = new Map<string, number | undefined>();
+	readonly #starts = new Map<string, EngineStart>();
 	#byService = new Map<string, EngineRecord[]>();
 	#isOutageOrGracePeriod = false;
 	#isRecoveringFromOutage = false;
@@ -103,6 +105,16 @@
 		}
 	}
 
+	/** Gives an engine that states in a response that it leaves no new requests, whatever its entry says, until it has restarted. */
+	recordLeaving(id: string): void {
+		const record = this.#engines.get(id);
+		if (record?.state === 'ready') {
+			this.#options.log.info('engine.leaving', {engine: id});
+			this.#engines.set(id, this.#withKnownState({...record, state: 'draining'}));
+			this.#rebuildIndex();
+		}
+	}
+
 	/** Stops using an engine whose address now belongs to another engine. */
 	remove(id: string, reason: string): void {
 		if (this.#engines.has(id)) {
@@ -131,13 +143,14 @@
 		this.#cancelRemoval(id);
 		const previous = this.#engines.get(id);
 		try {
+			const knownStart = this.#starts.get(id);
 			const record = this.#withKnownState(this.#options.decode(id, value ?? ''));
 			this.#engines.set(id, record);
 			if (previous?.state !== record.state || previous.startedAt !== record.startedAt || previous.address !== record.address) {
 				this.#options.log.info('engine.known', {
 					engine: id, service: record.service, address: record.address, state: record.state, before: previous?.state, started: record.startedAt,
 				});
-				this.#options.onChange(id, record);
+				this.#options.onChange(id, record, knownStart !== undefined && knownStart.startedAt !== record.startedAt);
 			}
 		} catch (error) {
 			this.#options.log.warn('engine.unreadable', {engine: id, reason: errorMessage(error)});
@@ -149,20 +162,17 @@
 
 	/** An engine that drains does not become ready again until it has restarted, whatever an older copy of its entry says. */
 	#withKnownState(record: EngineRecord): EngineRecord {
-		const {id, state, startedAt} = record;
-		const hasDrained = this.#drainedStarts.has(id) && this.#drainedStarts.get(id) === startedAt;
-		if (state === 'ready') {
-			return hasDrained ? {...record, state: 'draining'} : record;
-		}
-
-		this.#drainedStarts.delete(id);
-		this.#drainedStarts.set(id, startedAt);
-		if (this.#drainedStarts.size > maximumDrainedEngines) {
-			const [oldest] = this.#drainedStarts.keys();
-			this.#drainedStarts.delete(oldest!);
+		const {id, startedAt} = record;
+		const known = this.#starts.get(id);
+		const hasDrained = record.state === 'draining' || (known?.hasDrained === true && known.startedAt === startedAt);
+		this.#starts.delete(id);
+		this.#starts.set(id, {startedAt, hasDrained});
+		const [oldest] = this.#starts.keys();
+		if (this.#starts.size > maximumRememberedStarts && oldest !== undefined) {
+			this.#starts.delete(oldest);
 		}
 
-		return record;
+		return hasDrained ? {...record, state: 'draining'} : record;
 	}
 
 	/** Removes an engine whose entry is missing; around an outage only after the grace period, as entries of running engines may have expired. */
@@ -193,7 +203,7 @@
 		this.#cancelRemoval(id);
 		this.#engines.delete(id);
 		this.#options.log.info('engine.gone', {engine: id, reason});
-		this.#options.onChange(id, undefined);
+		this.#options.onChange(id, undefined, false);
 	}
 
 	#rebuildIndex(): void {
