--- a/src/upstream/__tests__/input-first-timer.test.ts
+++ b/src/upstream/__tests__/input-first-timer.test.ts
@@ -1,15 +1,7 @@
 import net, {type AddressInfo} from 'node:net';
-import {performance} from 'node:perf_hooks';
 import test from 'ava';
 import {InputFirstTimer} from '../input-first-timer.js';
-
-/** Keeps the event loop of this process from running, as a freeze of the machine does. */
-function standStill(milliseconds: number): void {
-	const end = performance.now() + milliseconds;
-	while (performance.now() < end) {
-		// Only the time passes.
-	}
-}
+import {standStill} from './stand-still.js';
 
 test.serial('input that arrived while the event loop stood still counts before the timer', async t => {
 	const server = net.createServer();
