test(soak): engines that drain or leave are replaced by a new start of their own

Traced in the logs: engine-drain wrote a new start time while the same stand-in, told to leave by an overlapping fault, went on saying so. Change: such a fault ends with a new stand-in under the id, the requests of the one before end as usual; what an engine has stated is checked for each of its starts. Bounds are unchanged. The check is the stricter one where two starts of one engine both leave.

--- a/soak/run.ts
+++ b/soak/run.ts
@@ -85,6 +85,8 @@
 	#instances: Instance[] = [];
 	#version = 1;
 	#isAdded = false;
+	/** Number of engines started, restarts included. */
+	#starts = 0;
 	/** When the store acknowledged the configuration that adds a route. */
 	#routeAddedAt = Number.POSITIVE_INFINITY;
 
@@ -155,6 +157,8 @@
 	}
 
 	#model(id: string): StandInEngine {
+		this.#starts += 1;
+		const start = this.#starts;
 		return new StandInEngine({
 			id, eventsPerStream: events, eventInterval: pace,
 			recorder: {
@@ -162,7 +166,7 @@
 					this.#runs.push(run);
 				},
 				recordArrival: arrival => {
-					this.#arrivals.push({...arrival, at: performance.now()});
+					this.#arrivals.push({...arrival, start, at: performance.now()});
 				},
 			},
 		});
@@ -255,14 +259,13 @@
 				const drained = this.#engines[engine]!;
 				this.#enter(drained, 'draining');
 				await sleep(duration + 500);
-				drained.born = Date.now();
-				this.#enter(drained, 'ready');
+				await this.#replace(drained);
 			})
 			.with({kind: 'engine-leave'}, async ({engine, duration}) => {
 				const leaver = this.#engines[engine]!;
 				leaver.model.isLeaving = true;
 				await sleep(duration + statementTime);
-				await this.#restart(leaver, 0);
+				await this.#replace(leaver);
 			})
 			.with({kind: 'engine-pause'}, async ({engine, duration}) => {
 				const {model} = this.#engines[engine]!;
@@ -321,6 +324,16 @@
 	async #restart(engine: Engine, duration: number): Promise<void> {
 		engine.model.crash();
 		await sleep(duration);
+		await this.#startAgain(engine);
+	}
+
+	/** Starts an engine anew under its id, while the requests of the one before end as usual. */
+	async #replace(engine: Engine): Promise<void> {
+		engine.model.retire();
+		await this.#startAgain(engine);
+	}
+
+	async #startAgain(engine: Engine): Promise<void> {
 		engine.model = this.#model(engine.id);
 		engine.port = await engine.model.listen();
 		engine.born = Date.now();
--- a/soak/statement-checks.ts
+++ b/soak/statement-checks.ts
@@ -8,7 +8,14 @@
 import type {FaultWindow} from './checks.js';
 
 /** One request at one engine, with what its answer stated. */
-export type Arrival = {engineId: string; requestId: string; statement: EngineStatement; at: number};
+export type Arrival = {
+	engineId: string;
+	/** Number of the engine's start; what it has stated ends with it. */
+	start: number;
+	requestId: string;
+	statement: EngineStatement;
+	at: number;
+};
 
 /** An arrival and the caller's request that led to it. */
 type SentArrival = Arrival & {instance: string; sentAt: number};
@@ -38,8 +45,8 @@
 	});
 	const isExcused = (instance: string, from: number, until: number) => windows
 		.some(window => excusingFaults.has(window.name) && window.instance === instance && window.from <= until && window.until >= from);
-	return [...new Set(sent.map(({engineId}) => engineId))].flatMap(engineId => {
-		const atEngine = sent.filter(arrival => arrival.engineId === engineId);
+	return [...new Set(sent.map(({start}) => start))].flatMap(start => {
+		const atEngine = sent.filter(arrival => arrival.start === start);
 		return [...leavingProblems(atEngine, isExcused), ...pauseProblems(atEngine, isExcused), ...limitProblems(atEngine, isExcused)];
 	});
 }
