--- a/src/placement/engine-pauses.ts
+++ b/src/placement/engine-pauses.ts
@@ -34,6 +34,11 @@
 		return endsAt - now;
 	}
 
+	/** Number of engines in a pause. */
+	count(now: number): number {
+		return [...this.#endsAt.keys()].filter(engineId => this.timeLeft(engineId, now) > 0).length;
+	}
+
 	/** Forgets an engine that has started again. */
 	reset(engineId: string): void {
 		this.#endsAt.delete(engineId);
--- a/src/placement/engine-rate-limits.ts
+++ b/src/placement/engine-rate-limits.ts
@@ -76,6 +76,11 @@
 		return [...this.#engines].map(([engineId, {limit}]) => ({engineId, limit}));
 	}
 
+	/** Number of engines that state a limit. */
+	get size(): number {
+		return this.#engines.size;
+	}
+
 	isLimited(engineId: string): boolean {
 		return this.#engines.has(engineId);
 	}
--- a/src/serving/serving-instance.ts
+++ b/src/serving/serving-instance.ts
@@ -336,6 +336,9 @@
 			engines: () => this.#engines.size,
 			peers: () => this.#peerMessenger.peerCount,
 			placements: () => this.#loadTracker.size,
+			limitedEngines: () => this.#rateLimits.size,
+			pausedEngines: () => this.#pauses.count(performance.now()),
+			storeEra: () => this.#tables[0].replica.digest.era,
 			storeAge: () => Math.max(...this.#tables.map(({watch}) => watch.timeSinceLastAnswer)) / 1000,
 			droppedLineCount: this.#options.droppedLineCount,
 		});
