--- a/src/serving/__tests__/admission.test.ts
+++ b/src/serving/__tests__/admission.test.ts
@@ -8,7 +8,7 @@
 
 const route: Route = {
 	name: 'r', host: '127.0.0.1', prefix: '/', kind: 'idempotent', isResumable: false, timeout: 5000, latencyTarget: 300, eventGapTarget: undefined,
-	maximumAttempts: 1, priority: 0, allowsAnonymous: true, targets: [{service: 's', weight: 1}],
+	maximumAttempts: 1, allowsAnonymous: true, targets: [{service: 's', weight: 1}],
 };
 const configuration: ServingConfiguration = {
 	version: 1, routes: [route], services: new Map([['s', {name: 's', engineProfile: undefined}]]),
--- a/src/serving/__tests__/engine-chooser.test.ts
+++ b/src/serving/__tests__/engine-chooser.test.ts
@@ -21,7 +21,7 @@
 
 const route: Route = {
 	name: 'reviews', host: 'a', prefix: '/', kind: 'stream', isResumable: true, timeout: 15_000, latencyTarget: 3000, eventGapTarget: 1000, maximumAttempts: 2,
-	priority: 1, allowsAnonymous: true, targets: [{service: 'model', weight: 1}],
+	allowsAnonymous: true, targets: [{service: 'model', weight: 1}],
 };
 
 const input: EngineChoiceInput = {
--- a/src/serving/__tests__/forwarded-request.test.ts
+++ b/src/serving/__tests__/forwarded-request.test.ts
@@ -14,7 +14,7 @@
 
 const route: Route = {
 	name: 'r', host: 'a', prefix: '/', kind: 'idempotent', isResumable: false, timeout: 1000, latencyTarget: 100, eventGapTarget: undefined, maximumAttempts: 2,
-	priority: 1, allowsAnonymous: true, targets: [{service: 's', weight: 1}],
+	allowsAnonymous: true, targets: [{service: 's', weight: 1}],
 };
 
 test('a request whose deadline has passed when its engine is chosen is refused, and the engine is released', async t => {
--- a/src/serving/__tests__/hedged-attempts.test.ts
+++ b/src/serving/__tests__/hedged-attempts.test.ts
@@ -14,7 +14,7 @@
 
 const route: Route = {
 	name: 'r', host: 'a', prefix: '/', kind: 'stream', isResumable: true, timeout: 20_000, latencyTarget: 100, eventGapTarget: 50, maximumAttempts: 3,
-	priority: 1, allowsAnonymous: true, targets: [{service: 's', weight: 1}],
+	allowsAnonymous: true, targets: [{service: 's', weight: 1}],
 };
 
 /** Time in milliseconds without an event after which the first engine counts as idle. */
--- a/src/serving/model.ts
+++ b/src/serving/model.ts
@@ -34,8 +34,6 @@
 	eventGapTarget: number | undefined;
 	/** Maximum number of engines that one request may be sent to. */
 	maximumAttempts: number;
-	/** Priority of the route; 0 is the highest. */
-	priority: number;
 	/** Whether requests without an API key are accepted. */
 	allowsAnonymous: boolean;
 	targets: readonly RouteTarget[];
@@ -81,8 +79,6 @@
 export type CustomerKeys = {
 	name: string;
 	apiKeys: readonly string[];
-	/** Priority that overrides the route's; undefined where the route's applies. */
-	priority: number | undefined;
 };
 
 /** One accepted configuration. */
