fix(placement): a limit that changes with each response no longer starves its engine

Cause: each new value of a limit began its owner's bucket anew and empty, so that an engine whose limit changed with each response was never used. Change: the bucket keeps its tokens when the limit changes. Where other instances own all limits of a service, the caller is told when their next share comes free, instead of a constant. Measured: new case of engine-rate-limits.test.ts, 16 requests or more in 10 s at about 2 a second.

--- a/src/placement/__tests__/engine-rate-limits.test.ts
+++ b/src/placement/__tests__/engine-rate-limits.test.ts
@@ -134,3 +134,20 @@
 
 	t.deepEqual(reports, [true, false, true, true, true]);
 });
+
+// Guards against a share that never grows to a request, because each new statement begins it anew.
+test.serial('an engine whose limit changes with each response is still used', t => {
+	const clock = installClock(t);
+	const limits = createLimits('10.0.0.1', () => ['10.0.0.1']);
+	let sent = 0;
+	for (let step = 0; step < 100; step++) {
+		clock.tick(100);
+		limits.recordResponse('e', 2 + (step % 2 / 100), performance.now());
+		if (limits.timeUntilRoom('e', performance.now()) === 0) {
+			limits.recordRequest('e', performance.now());
+			sent += 1;
+		}
+	}
+
+	t.true(sent >= 16, `${sent} requests in 10 s`);
+});
--- a/src/placement/engine-rate-limits.ts
+++ b/src/placement/engine-rate-limits.ts
@@ -50,6 +50,7 @@
 };
 
 type LimitedEngine = {
+	/** 0 until the first statement. */
 	limit: number;
 	/** When the engine's limit changed to this one. */
 	changedAt: number;
@@ -81,6 +82,11 @@
 		return this.#engines.size;
 	}
 
+	/** Limit in requests a second. */
+	limitOf(engineId: string): StatedLimit {
+		return this.#engines.get(engineId)?.limit;
+	}
+
 	isLimited(engineId: string): boolean {
 		return this.#engines.has(engineId);
 	}
@@ -98,7 +104,7 @@
 		}
 
 		const engine = this.#state(engineId, limit, 'response', now);
-		if (known === engine && now - engine.reportedAt < reportInterval) {
+		if (now - engine.reportedAt < reportInterval) {
 			return false;
 		}
 
@@ -141,24 +147,31 @@
 
 	#state(engineId: string, statedLimit: number, origin: 'response' | 'peer', now: number): LimitedEngine {
 		const limit = Math.max(minimumLimit, statedLimit);
-		const known = this.#engines.get(engineId);
-		if (known?.limit === limit) {
-			known.statedAt = now;
-			return known;
+		const engine = this.#engines.get(engineId) ?? this.#addEngine(engineId);
+		engine.statedAt = now;
+		if (engine.limit !== limit) {
+			this.#options.log.info('engine.limit', {
+				engine: engineId, limit, before: engine.limit === 0 ? undefined : engine.limit, origin,
+			});
+			engine.limit = limit;
+			engine.changedAt = now;
+			engine.reportedAt = Number.NEGATIVE_INFINITY;
+			engine.users = undefined;
 		}
 
-		const engine: LimitedEngine = {
-			limit, changedAt: now, statedAt: now, reportedAt: Number.NEGATIVE_INFINITY, users: undefined, isOwner: false, bucket: undefined,
-		};
-		this.#engines.set(engineId, engine);
+		return engine;
+	}
+
+	#addEngine(engineId: string): LimitedEngine {
 		const [oldest] = this.#engines.keys();
-		if (this.#engines.size > maximumLimitedEngines && oldest !== undefined) {
+		if (this.#engines.size >= maximumLimitedEngines && oldest !== undefined) {
 			this.#engines.delete(oldest);
 		}
 
-		this.#options.log.info('engine.limit', {
-			engine: engineId, limit, before: known?.limit, origin,
-		});
+		const engine: LimitedEngine = {
+			limit: 0, changedAt: 0, statedAt: 0, reportedAt: Number.NEGATIVE_INFINITY, users: undefined, isOwner: false, bucket: undefined,
+		};
+		this.#engines.set(engineId, engine);
 		return engine;
 	}
 
--- a/src/placement/placement-coordinator.ts
+++ b/src/placement/placement-coordinator.ts
@@ -73,8 +73,10 @@
 /** Retry-After in milliseconds if no engine is available; engines write their entries about once a second. */
 const noEngineRetryAfter = 500;
 
-/** Retry-After in milliseconds if other instances own the limits of all engines; the caller returns to one of these. */
-const foreignLimitRetryAfter = 150;
+/** Least Retry-After in milliseconds if other instances own the limits of all engines; the caller may return to one of these. */
+const minimumForeignRetryAfter = 150;
+
+const millisecondsPerSecond = 1000;
 
 /** HTTP status with which an engine turns a request away. */
 const unavailableStatus = 503;
@@ -282,11 +284,17 @@
 		return {
 			kind: 'refuse',
 			reason: records.every(({id}) => pauses.timeLeft(id, now) > 0) ? 'paused' : 'rate-limited',
-			retryAfter: Number.isFinite(time) ? time : foreignLimitRetryAfter,
+			retryAfter: Number.isFinite(time) ? time : this.#timeUntilForeignRoom(records),
 			candidates: records.length,
 		};
 	}
 
+	/** Time in milliseconds in which the owners of the engines' limits get room for one more request. */
+	#timeUntilForeignRoom(records: readonly EngineRecord[]): number {
+		const total = records.reduce((sum, {id}) => sum + (this.#options.rateLimits.limitOf(id) ?? 0), 0);
+		return Math.max(minimumForeignRetryAfter, millisecondsPerSecond / total);
+	}
+
 	/** Ready engines of a service without the excluded ones. */
 	#candidates(service: Service, excluded: ReadonlySet<string>): readonly EngineRecord[] {
 		const ready = this.#options.engines.ready(service.name);
