fix(watch): changes of a peer that lead to other rows leave the replica behind; leaving outlives an entry

An engine that says it leaves while its entry is missing stays out when the entry is back. Measured: one test each.

--- a/src/watch/__tests__/engine-catalogue.test.ts
+++ b/src/watch/__tests__/engine-catalogue.test.ts
@@ -115,3 +115,15 @@
 		t.deepEqual(readyIds(), isReady ? ['a'] : []);
 	});
 }
+
+test('an engine that says it leaves while its entry is missing gets no new requests when the entry is back', t => {
+	const {catalogue, readyIds} = createCatalogue();
+	catalogue.onChanges(rows({a: 'ready 5'}));
+	catalogue.onChanges(rows({a: undefined}));
+	catalogue.recordLeaving('a');
+	catalogue.onChanges(rows({a: 'ready 5'}));
+	t.deepEqual(readyIds(), []);
+
+	catalogue.onChanges(rows({a: 'ready 6'}));
+	t.deepEqual(readyIds(), ['a']);
+});
--- a/src/watch/__tests__/table-replica.test.ts
+++ b/src/watch/__tests__/table-replica.test.ts
@@ -165,3 +165,13 @@
 
 	t.deepEqual(one.digest, other.digest);
 });
+
+// Guards against a replica that takes itself to be up to date after changes that did not lead to its peer's rows.
+test('a delta that does not lead to the peer\'s rows leaves the replica behind, so that it fetches them', t => {
+	const {replica} = createReplica();
+	replica.onSnapshot([row('a', '1', 3)], false, {era: 1, version: 3});
+	const digest = {era: 1, version: 5, checksum: 12_345};
+
+	t.false(replica.applyDelta({baseChecksum: replica.digest.checksum, digest, rows: [row('b', '2', 5)]}));
+	t.true(replica.isBehind(digest));
+});
--- a/src/watch/engine-catalogue.ts
+++ b/src/watch/engine-catalogue.ts
@@ -107,10 +107,16 @@
 
 	/** Gives an engine that states in a response that it leaves no new requests, whatever its entry says, until it has restarted. */
 	recordLeaving(id: string): void {
+		const start = this.#starts.get(id);
+		if (start === undefined || start.hasDrained) {
+			return;
+		}
+
+		start.hasDrained = true;
+		this.#options.log.info('engine.leaving', {engine: id});
 		const record = this.#engines.get(id);
-		if (record?.state === 'ready') {
-			this.#options.log.info('engine.leaving', {engine: id});
-			this.#engines.set(id, this.#withKnownState({...record, state: 'draining'}));
+		if (record) {
+			this.#engines.set(id, {...record, state: 'draining'});
 			this.#rebuildIndex();
 		}
 	}
--- a/src/watch/table-replica.ts
+++ b/src/watch/table-replica.ts
@@ -110,15 +110,20 @@
 		return position.era > this.#position.era || (checksum !== this.#checksum && isLater(position, this.#position));
 	}
 
-	/** Applies a peer's changes. @returns false if they were made to other rows than these, or do not lead to the peer's checksum. */
+	/** Applies a peer's changes. @returns false if they were made to other rows than these, or do not lead to the peer's checksum; the replica is then still behind. */
 	applyDelta({baseChecksum, digest, rows}: TableDelta): boolean {
 		if (baseChecksum !== this.#checksum || digest.era !== this.#position.era) {
 			return false;
 		}
 
-		const changes = this.#applyChanges(rows, digest);
+		const changes = this.#applyChanges(rows.map(row => ({version: digest.version, ...row})), this.#position);
 		this.#options.listener.onChanges(changes, digest);
-		return this.#checksum === digest.checksum;
+		if (this.#checksum !== digest.checksum) {
+			return false;
+		}
+
+		this.#position = latestOf(this.#position, {era: digest.era, version: digest.version});
+		return true;
 	}
 
 	/** Replaces all rows by a peer's, unless the rows here are newer. */
