feat(commands): trace shows what engines had stated where that is why a request was refused

A request refused because engines limit their requests, pause or leave shows the last statement of each engine to its instance before the refusal, so that one command leads from the id to the cause.

--- a/src/commands/__tests__/trace.test.ts
+++ b/src/commands/__tests__/trace.test.ts
@@ -42,3 +42,30 @@
 		t.true(found.lines.every(line => line.startsWith('time=')));
 	});
 }
+
+test('trace of a request refused for what engines had stated shows the last statement of each engine to its instance', t => {
+	const pause = `${time(2)} event=engine.pause instance=a engine=e2 duration=3000`;
+	const limit = `${time(3)} event=engine.limit instance=a engine=e1 limit=1.5 before=2 origin=response`;
+	const {statements, lines, ending} = traceRequest('r1', [
+		`${time(1)} event=engine.limit instance=a engine=e1 limit=2 origin=peer`,
+		limit,
+		`${time(2)} event=engine.limit instance=b engine=e1 limit=2 origin=response`,
+		pause,
+		`${time(4)} event=placement.refused instance=a request=r1 service=s reason=rate-limited candidates=2 retry_after=700`,
+		`${time(4)} event=request.ended instance=a request=r1 outcome=refused status=503 sent=0 duration_ms=1 code=3002 reason="all ready engines limit their requests of service s"`,
+		`${time(5)} event=engine.leaving instance=a engine=e1`,
+	]);
+
+	t.deepEqual(statements, [limit, pause]);
+	t.is(lines.length, 2);
+	t.is(ending, 'refused at a with 503 after 1 ms; because all ready engines limit their requests of service s (code 3002); it has not run');
+});
+
+test('trace of a request that was served shows no statements of engines', t => {
+	const {statements} = traceRequest('r1', [
+		`${time(1)} event=engine.limit instance=a engine=e1 limit=2 origin=peer`,
+		`${time(2)} event=request.ended instance=a request=r1 outcome=answered status=200 sent=1 duration_ms=1 engine=e1 ran=yes`,
+	]);
+
+	t.deepEqual(statements, []);
+});
