--- a/soak/run.ts
+++ b/soak/run.ts
@@ -85,8 +85,8 @@
 	#instances: Instance[] = [];
 	#version = 1;
 	#isAdded = false;
-	/** Number of engines started, restarts included. */
-	#starts = 0;
+	/** All engines that were started, those that have been replaced included. */
+	readonly #models: StandInEngine[] = [];
 	/** When the store acknowledged the configuration that adds a route. */
 	#routeAddedAt = Number.POSITIVE_INFINITY;
 
@@ -157,9 +157,8 @@
 	}
 
 	#model(id: string): StandInEngine {
-		this.#starts += 1;
-		const start = this.#starts;
-		return new StandInEngine({
+		const start = this.#models.length;
+		const model = new StandInEngine({
 			id, eventsPerStream: events, eventInterval: pace,
 			recorder: {
 				recordRun: run => {
@@ -170,6 +169,8 @@
 				},
 			},
 		});
+		this.#models.push(model);
+		return model;
 	}
 
 	#enter(engine: Engine, state: 'ready' | 'draining'): void {
@@ -349,8 +350,11 @@
 		await Promise.all(this.#instances.map(async instance => instance.stop()));
 		closeCallers();
 		this.#store.close();
-		for (const {model, proxy} of this.#engines) {
+		for (const model of this.#models) {
 			model.crash();
+		}
+
+		for (const {proxy} of this.#engines) {
 			proxy.close();
 		}
 
