fix(serving): an instance that has just started does not retry for the whole fleet

Shown by a test: seventy instances that start without knowing each other send 5,460 retries in 10 s where 358 are allowed, eight send 344 where 120 are. Cause: an instance divides the fleet's allowance by the instances it knows, at first itself alone, and had its part as a burst at once, once more after each restart. Change: for its first second, two heartbeats, an instance has one retry of the allowance and those that its own requests earn; then 0.8 of its burst, so that a window with the end of one process and the start of the next stays within the allowance. Measured: four new cases fail before and pass now.

--- a/src/serving/__tests__/retry-budget.test.ts
+++ b/src/serving/__tests__/retry-budget.test.ts
@@ -42,3 +42,60 @@
 		}
 	});
 }
+
+// Guards against instances that each take the whole fleet's allowance while they don't know their peers, or once more after a restart.
+const starts: Array<{name: string; instanceCount: number; allowance: number; restartAt: number | undefined}> = [
+	{
+		name: 'seventy instances that start without knowing each other', instanceCount: 70, allowance: 218, restartAt: undefined,
+	},
+	{
+		name: 'eight instances that start without knowing each other', instanceCount: 8, allowance: 104, restartAt: undefined,
+	},
+	{
+		name: 'seventy instances that all start again', instanceCount: 70, allowance: 218, restartAt: 12_000,
+	},
+	{
+		name: 'eight instances that all start again', instanceCount: 8, allowance: 104, restartAt: 12_000,
+	},
+];
+
+/** Time in milliseconds in which an instance that has started hears of all others. */
+const discoveryTime = 400;
+
+for (const {name, instanceCount, allowance, restartAt} of starts) {
+	test.serial(`no window of ten seconds contains more retries than allowed: ${name}`, t => {
+		const clock = fakeTimers.install({toFake: ['performance']});
+		t.teardown(() => {
+			clock.uninstall();
+		});
+		const startFleet = (startedAt: number) => {
+			const knownInstances = () => Math.max(1, Math.round(Math.min(1, (performance.now() - startedAt) / discoveryTime) * instanceCount));
+			return Array.from({length: instanceCount}, () => new RetryBudget({...limits, allowance, instanceCount: knownInstances}));
+		};
+
+		let budgets = startFleet(0);
+		const retryTimes: number[] = [];
+		for (let time = 0; time < 25_000; time += 20) {
+			if (time === restartAt) {
+				budgets = startFleet(time);
+			}
+
+			for (const budget of budgets) {
+				if (time % 1000 === 0) {
+					budget.recordRequest('service');
+				}
+
+				while (budget.tryRetry('service')) {
+					retryTimes.push(time);
+				}
+			}
+
+			clock.tick(20);
+		}
+
+		const allowedRetries = (limits.ratio * instanceCount * limits.window / 1000) + allowance;
+		const mostRetries = Math.max(...retryTimes.map(end => retryTimes.filter(time => time > end - limits.window && time <= end).length));
+		t.true(mostRetries <= allowedRetries, `${mostRetries} retries, allowed ${allowedRetries}`);
+		t.true(retryTimes.length >= allowance, `only ${retryTimes.length} retries in 25 s`);
+	});
+}
--- a/src/serving/retry-budget.ts
+++ b/src/serving/retry-budget.ts
@@ -5,11 +5,24 @@
  *
  * @module
  */
+import {performance} from 'node:perf_hooks';
 import {TokenBucket} from '../platform/token-bucket.js';
 
 /** Share of the platform's budget that is used; the rest is a margin, because windows slide and the counts of the instances differ a little. */
 const usableShare = 0.7;
 
+/**
+ * Time in milliseconds after the start of an instance, two heartbeats of its peers, in which it may not know all of them, so
+ * that its part of the allowance would come out too large.
+ */
+const discoveryTime = 1000;
+
+/** Retries of the allowance that an instance has until it knows its peers. */
+const initialRetries = 1;
+
+/** Share of its burst that an instance then has; the process before it may have used a whole one in the same window. */
+const initialBurstShare = 0.8;
+
 /** Options of a `RetryBudget`. */
 export type RetryBudgetOptions = {
 	/** Retries allowed for each first attempt. */
@@ -28,6 +41,7 @@
 export class RetryBudget {
 	readonly #options: RetryBudgetOptions;
 	readonly #services = new Map<string, ServiceBudget>();
+	readonly #startedAt = performance.now();
 
 	constructor(options: RetryBudgetOptions) {
 		this.#options = options;
@@ -60,10 +74,14 @@
 		// Half of the share is available as a burst and the other half is refilled over a window, so that no window exceeds the whole.
 		const share = allowance * usableShare / Math.max(1, instanceCount());
 		const burst = Math.max(1, share / 2);
-		if (!budget || Math.abs(budget.burst - burst) > budget.burst / 4) {
+		const knowsPeers = performance.now() - this.#startedAt >= discoveryTime;
+		if (!budget || Math.abs(budget.burst - burst) > budget.burst / 4 || budget.knowsPeers !== knowsPeers) {
+			const rate = knowsPeers ? share / 2 / (window / millisecondsPerSecond) : 0;
+			const wasDiscovering = knowsPeers && budget?.knowsPeers !== true;
+			const tokens = (budget?.allowance.tokens ?? initialRetries) + (wasDiscovering ? (burst * initialBurstShare) - initialRetries : 0);
 			budget = {
-				earnedRetries: budget?.earnedRetries ?? 0, burst,
-				allowance: new TokenBucket({rate: share / 2 / (window / millisecondsPerSecond), burst, initial: Math.min(burst, budget?.allowance.tokens ?? burst)}),
+				earnedRetries: budget?.earnedRetries ?? 0, burst, knowsPeers,
+				allowance: new TokenBucket({rate, burst, initial: Math.max(0, Math.min(burst, tokens))}),
 			};
 			this.#services.set(service, budget);
 		}
@@ -74,4 +92,4 @@
 }
 
 /** Budget of one service: retries earned by its requests, and the bucket of this instance's part of the allowance. */
-type ServiceBudget = {earnedRetries: number; burst: number; allowance: TokenBucket};
+type ServiceBudget = {earnedRetries: number; burst: number; knowsPeers: boolean; allowance: TokenBucket};
