--- a/src/placement/engine-rate-limits.ts
+++ b/src/placement/engine-rate-limits.ts
@@ -180,7 +180,7 @@
 		this.#engines.delete(engineId);
 	}
 
-	/** The bucket of this instance's share, undefined if it has none. A new one begins empty, as another instance may have used the share before. */
+	/** The bucket of this instance's share, undefined if it has none. A new owner's begins empty, as another instance may have used the share before. */
 	#bucket(engineId: string, engine: LimitedEngine, now: number): TokenBucket | undefined {
 		const users = this.#options.users(engineId);
 		const isStale = now - engine.statedAt > staleLimitAge;
--- a/src/serving/retry-budget.ts
+++ b/src/serving/retry-budget.ts
@@ -68,6 +68,7 @@
 		return budget.allowance.tryTake();
 	}
 
+	/** The budget of a service, made anew when this instance comes to know its peers or their number changes. */
 	#serviceBudget(service: string): ServiceBudget {
 		const {allowance, window, instanceCount} = this.#options;
 		let budget = this.#services.get(service);
--- a/src/watch/table-replica.ts
+++ b/src/watch/table-replica.ts
@@ -170,6 +170,7 @@
 		}
 	}
 
+	/** Whether a change is not older than what is known of its row, and is not the removed row itself, from a copy of the store. */
 	#isCurrent({key, removed, version}: RowChange, position: StorePosition): boolean {
 		const known = this.#rows.get(key)?.version ?? this.#removals.get(key)?.version ?? 0;
 		return (version ?? position.version) >= known && (removed || version === undefined || version !== this.#removals.get(key)?.rowVersion);
