fix(watch): an engine that left just after an outage is not kept for longer than it serves

A replay with logs did not break it but shows the cause: the store had turned three of eight instances away (store.regained at 12.4 to 12.8 s); these took the removal at 13.55 s for an entry that had expired in the outage (engine.lapsed) and kept the engine for two seconds from then, until 15.56 s; the bound ended at 15.51 s. Change: an entry removed within the grace period is kept until that ends. Measured: the new test fails before and passes now.

--- a/src/watch/__tests__/engine-catalogue.test.ts
+++ b/src/watch/__tests__/engine-catalogue.test.ts
@@ -63,7 +63,7 @@
 });
 
 test.serial('keeps engines whose entries expired in an outage for two seconds after it', t => {
-	const clock = fakeTimers.install({toFake: ['setTimeout', 'clearTimeout']});
+	const clock = fakeTimers.install({toFake: ['setTimeout', 'clearTimeout', 'performance']});
 	t.teardown(() => {
 		clock.uninstall();
 	});
@@ -83,7 +83,7 @@
 });
 
 test.serial('keeps engines whose entries expired in an outage that a peer reports', t => {
-	const clock = fakeTimers.install({toFake: ['setTimeout', 'clearTimeout']});
+	const clock = fakeTimers.install({toFake: ['setTimeout', 'clearTimeout', 'performance']});
 	t.teardown(() => {
 		clock.uninstall();
 	});
@@ -97,6 +97,24 @@
 	t.deepEqual(readyIds(), []);
 });
 
+// Guards against an engine that left just after an outage of this instance alone, and is then kept for longer than it serves.
+test.serial('an engine whose entry is removed within the grace period is kept only until that ends', t => {
+	const clock = fakeTimers.install({toFake: ['setTimeout', 'clearTimeout', 'performance']});
+	t.teardown(() => {
+		clock.uninstall();
+	});
+	const {catalogue, readyIds} = createCatalogue();
+	catalogue.onSnapshot(rows({a: 'ready'}), false);
+	catalogue.onStoreUnavailable('status 429');
+	clock.tick(6000);
+	catalogue.onSnapshot(rows({a: 'ready'}), true);
+	clock.tick(1200);
+	catalogue.onChanges(rows({a: undefined}));
+	t.deepEqual(readyIds(), ['a']);
+	clock.tick(900);
+	t.deepEqual(readyIds(), []);
+});
+
 // Guards against an older copy of the store, or a read that is behind, that makes an engine ready again that has said it leaves.
 const successions: Array<{name: string; entries: Array<string | undefined>; isReady: boolean}> = [
 	{name: 'the same start is ready once more', entries: ['ready 5', 'draining 5', 'ready 5'], isReady: false},
--- a/src/watch/engine-catalogue.ts
+++ b/src/watch/engine-catalogue.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import {performance} from 'node:perf_hooks';
 import {errorMessage} from '../errors/errors.js';
 import type {EngineRecord} from '../serving/model.js';
 import type {EventLog} from '../telemetry/log.js';
@@ -38,6 +39,8 @@
 	#isOutageOrGracePeriod = false;
 	#isRecoveringFromOutage = false;
 	#graceTimer: NodeJS.Timeout | undefined;
+	/** Monotonic time in milliseconds at which the grace period ends. */
+	#graceEndsAt = 0;
 
 	constructor(options: EngineCatalogueOptions) {
 		this.#options = options;
@@ -88,6 +91,7 @@
 
 	onStoreUnavailable(reason: string): void {
 		this.#isOutageOrGracePeriod = true;
+		this.#graceEndsAt = 0;
 		this.#isRecoveringFromOutage = false;
 		clearTimeout(this.#graceTimer);
 		this.#options.log.warn('store.lost', {table: 'engines', known: this.#engines.size, reason});
@@ -139,6 +143,7 @@
 	#startGracePeriod(): void {
 		this.#isOutageOrGracePeriod = true;
 		clearTimeout(this.#graceTimer);
+		this.#graceEndsAt = performance.now() + expiryGracePeriod;
 		this.#graceTimer = setTimeout(() => {
 			this.#isOutageOrGracePeriod = false;
 			this.#isRecoveringFromOutage = false;
@@ -181,7 +186,10 @@
 		return hasDrained ? {...record, state: 'draining'} : record;
 	}
 
-	/** Removes an engine whose entry is missing; around an outage only after the grace period, as entries of running engines may have expired. */
+	/**
+	 * Removes an engine whose entry is missing; during an outage only after a grace period, and after one when that of the outage
+	 * ends, as entries of running engines may have expired. The engine may as well have left, so it is kept no longer.
+	 */
 	#handleMissing(id: string): void {
 		if (!this.#engines.has(id) || this.#pendingRemovals.has(id)) {
 			return;
@@ -192,12 +200,14 @@
 			return;
 		}
 
-		this.#options.log.info('engine.lapsed', {engine: id, grace: expiryGracePeriod});
+		const timeLeft = this.#graceEndsAt - performance.now();
+		const grace = timeLeft > 0 ? timeLeft : expiryGracePeriod;
+		this.#options.log.info('engine.lapsed', {engine: id, grace: Math.round(grace)});
 		this.#pendingRemovals.set(id, setTimeout(() => {
 			this.#pendingRemovals.delete(id);
 			this.#removeEngine(id, 'entry not written again within the grace period');
 			this.#rebuildIndex();
-		}, expiryGracePeriod));
+		}, grace));
 	}
 
 	#cancelRemoval(id: string): void {
