fix(peers): instances that start at once, before their seeds, know each other within two seconds

Cause: a seed that had not started yet was contacted again for a mere reply instead of its list of peers, and lists are otherwise asked for every ten seconds. Change: a contact is repeated with what it asked for, and the seeds are asked once in each of the first four rounds of heartbeats.

--- a/src/peers/__tests__/peer-messenger.test.ts
+++ b/src/peers/__tests__/peer-messenger.test.ts
@@ -140,3 +140,30 @@
 	await until(() => !late.rateLimits.isLimited('e'));
 	t.deepEqual(late.rateLimits.limits, []);
 });
+
+/** Time in milliseconds after the start in which instances must know each other; shares that are divided by their number count from then on. */
+const discoveryLimit = 2000;
+
+// Guards against instances that know only those that contacted them for ten seconds, where all start at once and the seeds a moment later.
+test('thirty instances that start at once, before their seeds, know each other within two seconds', async t => {
+	const all = Array.from({length: 30}, (_, index) => createInstance(25, index + 1));
+	t.teardown(() => {
+		for (const {messenger} of all) {
+			messenger.close();
+		}
+	});
+	const [seeds, others] = [all.slice(0, 3), all.slice(3)];
+	const start = async (instances: typeof all) => {
+		await Promise.all(instances.map(async ({messenger}) => messenger.start()));
+		for (const {messenger} of instances) {
+			messenger.contact(seeds.map(({ip}) => ip));
+		}
+	};
+
+	await start(others);
+	await sleep(100);
+	await start(seeds);
+
+	await sleep(discoveryLimit);
+	t.deepEqual(all.map(({messenger}) => messenger.peerCount), all.map(() => all.length - 1));
+});
--- a/src/peers/peer-messenger.ts
+++ b/src/peers/peer-messenger.ts
@@ -39,6 +39,9 @@
 /** Rounds of heartbeats between two requests for the peer list of some peer; they join the parts of a fleet that started up partitioned. */
 const heartbeatsPerPeerListRequest = 20;
 
+/** Rounds of heartbeats after the start in which the first contacts are asked for their peer lists again; where all instances start at once, these knew few others at first. */
+const startingHeartbeats = 4;
+
 /** Greatest size in bytes of the rows in one datagram; peers fetch the table after a larger change. */
 const maximumDeltaSize = 8192;
 
@@ -72,6 +75,8 @@
 	readonly #options: PeerMessengerOptions;
 	readonly #socket = dgram.createSocket('udp4');
 	readonly #membership: PeerMembership;
+	/** Instances that this one was told to contact for their peer lists. */
+	readonly #firstContacts = new Set<string>();
 	/** Addresses that have not replied yet, with the number of attempts to contact them. */
 	readonly #contactAttempts = new Map<string, number>();
 	readonly #pendingReports = new PendingReports();
@@ -136,6 +141,9 @@
 			if (address !== this.#options.ip && !this.#membership.has(address) && !this.#contactAttempts.has(address)) {
 				this.#contactAttempts.set(address, 1);
 				this.#sendStatusTo([address], {replyRequest});
+				if (replyRequest === 'peer-list') {
+					this.#firstContacts.add(address);
+				}
 			}
 		}
 	}
@@ -232,12 +240,16 @@
 			this.#sendStatusTo([all[this.#heartbeatCount / heartbeatsPerPeerListRequest % all.length]!], {replyRequest: 'peer-list'});
 		}
 
+		if (this.#heartbeatCount <= startingHeartbeats) {
+			this.#sendStatusTo([...this.#firstContacts].filter(address => this.#membership.has(address)), {replyRequest: 'peer-list'});
+		}
+
 		for (const [address, attempts] of this.#contactAttempts) {
 			if (attempts >= maximumContactAttempts) {
 				this.#contactAttempts.delete(address);
 			} else {
 				this.#contactAttempts.set(address, attempts + 1);
-				this.#sendStatusTo([address], {replyRequest: 'reply'});
+				this.#sendStatusTo([address], {replyRequest: this.#firstContacts.has(address) ? 'peer-list' : 'reply'});
 			}
 		}
 	}
--- a/src/serving/retry-budget.ts
+++ b/src/serving/retry-budget.ts
@@ -12,10 +12,10 @@
 const usableShare = 0.7;
 
 /**
- * Time in milliseconds after the start of an instance, two heartbeats of its peers, in which it may not know all of them, so
+ * Time in milliseconds after the start of an instance, four heartbeats of its peers, in which it may not know all of them, so
  * that its part of the allowance would come out too large.
  */
-const discoveryTime = 1000;
+const discoveryTime = 2000;
 
 /** Retries of the allowance that an instance has until it knows its peers. */
 const initialRetries = 1;
