--- a/review/support/record.ts
+++ b/review/support/record.ts
@@ -17,6 +17,9 @@
 /** Exit codes of a script. */
 const exitCodes = {held: 0, broken: 1, notRun: 2} as const;
 
+// A reader of the output that has gone does not end the run.
+process.stdout.on('error', () => undefined);
+
 /** Lines of one run, with the seconds since its start. */
 export class RunRecord {
 	readonly #path: string;
