fix(serving): a response whose head cannot be sent on fails its attempt alone

Cause: the runtime's parser accepts heads that its writer rejects (statuses 000, 001, 099, 101, 600 to 999; field names that are empty or contain a blank; found by sending every byte in every position). EngineAttempt hands the head to the caller's response, whose writeHead throws in the "end" event of the engine's response. Nothing guards that event, so the process ends with ERR_HTTP_INVALID_STATUS_CODE or ERR_INVALID_HTTP_TOKEN.

Change: HttpExchange checks the head where it is received. One that cannot be sent on is no response; the exchange is broken, as with any other bytes that are not HTTP. Reservations use the same exchange.

--- a/src/serving/__tests__/http-exchange.test.ts
+++ b/src/serving/__tests__/http-exchange.test.ts
@@ -67,6 +67,23 @@
 		},
 		expected: {isComplete: true, body: 'whole'},
 	},
+	// Guards against heads that the parser accepts and the writer of the caller's response rejects, in an event that nothing guards.
+	...[
+		['a status of no class', 'HTTP/1.1 000 OK\r\n'],
+		['a status below 100', 'HTTP/1.1 099 OK\r\n'],
+		['a change of protocol that was not asked for', 'HTTP/1.1 101 Switching Protocols\r\n'],
+		['a status above 599', 'HTTP/1.1 600 OK\r\n'],
+		['a blank in the name of a header', `${head}Server Load: 1\r\n`],
+		['a header without a name', `${head}: 1\r\n`],
+	].map(([form, start]) => ({
+		name: `a head with ${form}`,
+		serve(socket: net.Socket) {
+			socket.end(`${start}Content-Length: 5\r\n\r\nwhole`);
+		},
+		expected: {
+			isComplete: false, failure: 'broken', body: '', status: 0,
+		} as const,
+	})),
 	{
 		name: 'no response at all',
 		serve(socket) {
--- /dev/null
+++ b/src/serving/header-fields.ts
@@ -0,0 +1,74 @@
+/**
+ * Tells which parts of a received message can be sent on.
+ *
+ * The runtime's HTTP parser accepts more than its writer, which throws: field names that are empty or contain a blank,
+ * request targets with a tab or a form feed, and statuses that HTTP does not define.
+ *
+ * @module
+ */
+import http from 'node:http';
+
+/** Statuses of final responses. */
+const minimumFinalStatus = 200;
+const maximumFinalStatus = 599;
+
+/** Characters of a request target that is written as it is. */
+const targetPattern = /^[\u0021-\u00FF]+$/v;
+
+/** Longest part of an invalid name or target in a description, in characters. */
+const maximumDescribedLength = 60;
+
+/** Describes the first invalid field of raw headers, which are names and values in turn; undefined if all can be sent. */
+export function describeInvalidField(rawHeaders: readonly string[]): string | undefined {
+	for (let index = 0; index < rawHeaders.length; index += 2) {
+		const name = rawHeaders[index]!;
+		if (!isFieldName(name)) {
+			return `header name ${describe(name)} is not a token`;
+		}
+
+		if (!isFieldValue(rawHeaders[index + 1]!)) {
+			return `value of header "${name}" contains a character that headers may not have`;
+		}
+	}
+
+	return undefined;
+}
+
+/** Describes what is invalid about the head of a final response; undefined if it can be sent. */
+export function describeInvalidResponseHead(status: number, rawHeaders: readonly string[]): string | undefined {
+	return status < minimumFinalStatus || status > maximumFinalStatus
+		? `status ${status} is not that of a final response`
+		: describeInvalidField(rawHeaders);
+}
+
+/** Describes what is invalid about the head of a request; undefined if it can be sent. */
+export function describeInvalidRequestHead(target: string, rawHeaders: readonly string[]): string | undefined {
+	return targetPattern.test(target) ? describeInvalidField(rawHeaders) : `request target ${describe(target)} contains a blank or a control character`;
+}
+
+/** Whether a text can be sent as the value of a header. */
+export function isFieldValue(value: string): boolean {
+	return passes(() => {
+		http.validateHeaderValue('value', value);
+	});
+}
+
+function isFieldName(name: string): boolean {
+	return passes(() => {
+		http.validateHeaderName(name);
+	});
+}
+
+/** Whether a check of the runtime, which throws on invalid input, passes. */
+function passes(check: () => void): boolean {
+	try {
+		check();
+		return true;
+	} catch {
+		return false;
+	}
+}
+
+function describe(text: string): string {
+	return JSON.stringify(text.slice(0, maximumDescribedLength));
+}
--- a/src/serving/http-exchange.ts
+++ b/src/serving/http-exchange.ts
@@ -10,6 +10,7 @@
 import net from 'node:net';
 import type {Duplex} from 'node:stream';
 import type {EngineConnector, FailureEvidence, PendingConnection} from '../upstream/engine-connector.js';
+import {describeInvalidResponseHead} from './header-fields.js';
 
 /** Most provisional responses (status 1xx) before the final one. */
 const maximumProvisionalResponses = 10;
@@ -25,7 +26,7 @@
 	body: Uint8Array | undefined;
 };
 
-/** Status and headers of a response. */
+/** Status and headers of a response, which are valid in a response to a caller as well. */
 export type ResponseHead = {
 	status: number;
 	headers: NodeJS.Dict<string | string[]>;
@@ -131,10 +132,15 @@
 			return;
 		}
 
+		const {statusCode: status = 0, headers, rawHeaders} = response;
+		const defect = describeInvalidResponseHead(status, rawHeaders);
+		if (defect !== undefined) {
+			this.#fail(`response is not valid HTTP: ${defect}`);
+			return;
+		}
+
 		this.#response = response;
-		this.#listener.onHead({
-			status: response.statusCode ?? 0, headers: response.headers, rawHeaders: response.rawHeaders,
-		});
+		this.#listener.onHead({status, headers, rawHeaders});
 		response.on('data', (bytes: Uint8Array) => {
 			if (!this.#isEnded) {
 				this.#listener.onData(bytes);
