fix(serving): a caller's head that cannot be sent on is rejected, and its connection closed

The runtime's parser of requests accepts these heads, its writer throws (ERR_INVALID_HTTP_TOKEN, ERR_UNESCAPED_CHARACTERS), in the event of the connection to the engine, which nothing guards.

Change: the admission checks the head before anything else and answers 400 with the new code 1013. The connection closes, and requests behind the malformed one, which may be smuggled, are not handled.

--- a/src/errors/catalogue.ts
+++ b/src/errors/catalogue.ts
@@ -61,6 +61,9 @@
 	1012: {
 		status: 408, name: 'body-late', ran: 'no', remedy: 'Send the whole body within the deadline.',
 	},
+	1013: {
+		status: 400, name: 'malformed-head', ran: 'no', remedy: 'Send header names without blanks, and percent-encode blanks and control characters of the path.',
+	},
 	// Authentication and authorization.
 	2001: {
 		status: 401, name: 'bad-credentials', ran: 'no', remedy: 'Send a key of a declared customer as "Authorization: Bearer KEY".',
--- a/src/serving/admission.ts
+++ b/src/serving/admission.ts
@@ -5,6 +5,7 @@
  */
 import {Buffer} from 'node:buffer';
 import type http from 'node:http';
+import type {Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {errorCatalogue, type ErrorCode} from '../errors/catalogue.js';
 import {errorMessage} from '../errors/errors.js';
@@ -15,6 +16,7 @@
 import {CallerResponse} from './caller-response.js';
 import type {EngineChooser} from './engine-chooser.js';
 import {ForwardedRequest} from './forwarded-request.js';
+import {describeInvalidRequestHead} from './header-fields.js';
 import type {
 	CustomerKeys, RequestHeaderValues, RequestProtocol, Route, Service,
 } from './model.js';
@@ -60,6 +62,8 @@
 	readonly #options: AdmissionOptions;
 	readonly #random: () => number;
 	readonly #buffers = new ResponseBuffers();
+	/** Connections that close after the answer to a malformed head. What follows on them may be smuggled and is not handled. */
+	readonly #malformedConnections = new WeakSet<Socket>();
 	#activeRequestCount = 0;
 
 	constructor(options: AdmissionOptions) {
@@ -74,6 +78,10 @@
 
 	/** Handles one request until its response has ended. */
 	async handle(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+		if (this.#malformedConnections.has(request.socket)) {
+			return;
+		}
+
 		const arrivedAt = performance.now();
 		this.#activeRequestCount += 1;
 		response.once('close', () => {
@@ -84,7 +92,7 @@
 		try {
 			const headerValues = this.#options.protocol.parseRequestHeaders(request.headers);
 			({requestId} = headerValues);
-			answer = new CallerResponse(response, requestId, () => this.#options.state() !== 'serving');
+			answer = new CallerResponse(response, requestId, () => this.#options.state() !== 'serving' || this.#malformedConnections.has(request.socket));
 			const admission = this.#admit(request, headerValues);
 			if ('code' in admission) {
 				this.#reject(answer, headerValues, request, admission);
@@ -107,6 +115,12 @@
 	}
 
 	#admit(request: http.IncomingMessage, headerValues: RequestHeaderValues): AdmittedRequest | Rejection {
+		const defect = describeInvalidRequestHead(request.url ?? '', request.rawHeaders);
+		if (defect !== undefined) {
+			this.#malformedConnections.add(request.socket);
+			return {code: '1013', reason: defect};
+		}
+
 		const routes = this.#options.routes();
 		if (!routes) {
 			return {code: '5008', reason: 'no configuration has been received yet'};
