fix(serving): a planned stop accepts no request that its end would cut

Cause: requests were accepted for 0.4 of the grace period, 3.2 s, by a flag that a loop looked after every 50 ms, so later still where the event loop was late. Nothing looked again once a slow body had arrived: such a request was passed on at any time of the stop.

Change: the state follows from the time since SIGTERM, in a class of its own. Requests are accepted for as long as callers are routed here, 2.5 s, and at most a third of the grace period; later ones, which come over open connections, are told to ask again (503, not run). The state is looked at again when the body is complete.

--- /dev/null
+++ b/src/serving/__tests__/shutdown.test.ts
@@ -0,0 +1,43 @@
+import fakeTimers from '@sinonjs/fake-timers';
+import test from 'ava';
+import {type ServingState, Shutdown} from '../shutdown.js';
+
+const cases: Array<{gracePeriod: number; elapsed: number; state: ServingState; canEnd: boolean; isOverdue: boolean}> = [
+	{
+		gracePeriod: 8000, elapsed: 0, state: 'leaving', canEnd: false, isOverdue: false,
+	},
+	{
+		gracePeriod: 8000, elapsed: 2499, state: 'leaving', canEnd: false, isOverdue: false,
+	},
+	{
+		gracePeriod: 8000, elapsed: 2500, state: 'closing', canEnd: true, isOverdue: false,
+	},
+	{
+		gracePeriod: 8000, elapsed: 7759, state: 'closing', canEnd: true, isOverdue: false,
+	},
+	{
+		gracePeriod: 8000, elapsed: 7760, state: 'closing', canEnd: true, isOverdue: true,
+	},
+	{
+		gracePeriod: 3000, elapsed: 999, state: 'leaving', canEnd: false, isOverdue: false,
+	},
+	{
+		gracePeriod: 3000, elapsed: 1000, state: 'closing', canEnd: false, isOverdue: false,
+	},
+];
+
+for (const {gracePeriod, elapsed, ...expected} of cases) {
+	test.serial(`${elapsed} ms after SIGTERM, ${gracePeriod} ms before SIGKILL: ${expected.state}`, t => {
+		const clock = fakeTimers.install({toFake: ['performance']});
+		t.teardown(() => {
+			clock.uninstall();
+		});
+		const shutdown = new Shutdown(gracePeriod);
+		t.is(shutdown.state, 'serving');
+		shutdown.begin();
+		clock.tick(elapsed);
+		t.like(shutdown, expected);
+		shutdown.close();
+		t.is(shutdown.state, 'closing');
+	});
+}
--- a/src/serving/admission.ts
+++ b/src/serving/admission.ts
@@ -24,12 +24,7 @@
 import type {RetryBudget} from './retry-budget.js';
 import type {RouteTable} from './route-table.js';
 import type {ServingMetrics} from './serving-metrics.js';
-
-/**
- * How far an instance is in its shutdown: `serving` before it, `leaving` while it still accepts requests but closes each
- * connection after its response, `closing` once it also rejects new requests.
- */
-export type ServingState = 'serving' | 'leaving' | 'closing';
+import type {ServingState} from './shutdown.js';
 
 /** Options of an `Admission`. */
 export type AdmissionOptions = {
@@ -57,6 +52,8 @@
 /** Why a request is answered without being forwarded. */
 type Rejection = {code: ErrorCode; reason: string};
 
+const shuttingDown: Rejection = {code: '3006', reason: 'this instance is shutting down'};
+
 /** Admits or rejects the requests of callers. */
 export class Admission {
 	readonly #options: AdmissionOptions;
@@ -105,6 +102,12 @@
 				return;
 			}
 
+			// A body may arrive long after its head.
+			if (body !== undefined && this.#options.state() === 'closing') {
+				this.#reject(answer, headerValues, request, shuttingDown);
+				return;
+			}
+
 			await this.#forward({
 				request, response, answer, headerValues, arrivedAt,
 			}, admission, body);
@@ -127,7 +130,7 @@
 		}
 
 		if (this.#options.state() === 'closing') {
-			return {code: '3006', reason: 'this instance is shutting down'};
+			return shuttingDown;
 		}
 
 		const route = routes.findRoute(request.headers.host ?? '', request.url ?? '');
--- a/src/serving/serving-instance.ts
+++ b/src/serving/serving-instance.ts
@@ -28,7 +28,7 @@
 import {type ReplicatedTable, TableReplication} from '../watch/table-replication.js';
 import {maximumPollGap, pollWait} from '../watch/poll-schedule.js';
 import {maximumChangeBatchDelay, type TableListener, TableWatch} from '../watch/table-watch.js';
-import {Admission, type ServingState} from './admission.js';
+import {Admission} from './admission.js';
 import {CallerListener} from './caller-listener.js';
 import {EngineChooser} from './engine-chooser.js';
 import type {
@@ -38,6 +38,7 @@
 import {answerOperator} from './operator-requests.js';
 import {RetryBudget} from './retry-budget.js';
 import {ServingMetrics} from './serving-metrics.js';
+import {Shutdown} from './shutdown.js';
 
 /** An IP address and a port. */
 export type Endpoint = {host: string; port: number};
@@ -79,15 +80,6 @@
 	droppedLineCount: () => number;
 };
 
-/** Time in milliseconds after SIGTERM for which callers are still routed here: two readiness probes and a margin. */
-const readinessPropagationDelay = 2500;
-
-/** Share of the grace period after which new requests are rejected, because they might not end within it. */
-const admissionCutoffShare = 0.4;
-
-/** Share of the grace period after which requests in flight are abandoned. */
-const drainTimeoutShare = 0.97;
-
 /** Time in milliseconds between two checks whether all requests have ended. */
 const drainCheckInterval = 50;
 
@@ -127,12 +119,13 @@
 	readonly #auxiliaryServers: http.Server[] = [];
 	readonly #peersKnown: Promise<void>;
 	#resolvePeersKnown: (() => void) | undefined;
-	#state: ServingState = 'serving';
+	readonly #shutdown: Shutdown;
 	#isClosed = false;
 
 	constructor(options: ServingInstanceOptions) {
 		this.#options = options;
 		const {log, tables, store, protocol, bounds, ip, failureDomain} = options;
+		this.#shutdown = new Shutdown(bounds.gracePeriod);
 		const origin = `${options.instance}~${Date.now().toString(36)}`;
 		this.#peersKnown = new Promise(resolve => {
 			this.#resolvePeersKnown = resolve;
@@ -160,7 +153,7 @@
 			engine: id => this.#engines.get(id), readyEngines: () => this.#engines.allReady,
 			isAccepting: ({id, state}) => state === 'ready' && this.#pauses.timeLeft(id, performance.now()) === 0,
 			peers: () => this.#peerMessenger.alivePeers,
-			isServing: () => this.#state === 'serving',
+			isServing: () => this.#shutdown.state === 'serving',
 			onOfferChange: () => {
 				this.#peerMessenger.announce();
 			},
@@ -202,7 +195,7 @@
 		});
 		this.#registration = new InstanceRegistration({
 			store, table: tables.instances, instance: options.instance, ip, log,
-			messenger: this.#peerMessenger, isServing: () => this.#state === 'serving',
+			messenger: this.#peerMessenger, isServing: () => this.#shutdown.state === 'serving',
 		});
 		this.#tableServer = new TableServer(table => ({digest: this.#tables[table].replica.digest, rows: this.#tables[table].replica.rows}));
 		const placementCoordinator = new PlacementCoordinator({
@@ -223,7 +216,7 @@
 			},
 		});
 		this.#admission = new Admission({
-			routes: () => this.#configuration.routes, state: () => this.#state, protocol, chooser, quarantine: this.#quarantine, metrics: this.#metrics, log,
+			routes: () => this.#configuration.routes, state: () => this.#shutdown.state, protocol, chooser, quarantine: this.#quarantine, metrics: this.#metrics, log,
 			retryBudget: new RetryBudget({
 				ratio: bounds.retryRatio, window: bounds.retryWindow, allowance: bounds.retryAllowance, fleet: () => this.#peerMessenger.fleet,
 			}),
@@ -236,7 +229,7 @@
 
 	/** Whether this instance accepts new connections. */
 	get isReady(): boolean {
-		return this.#state === 'serving' && this.#configuration.routes !== undefined && this.#engines.size > 0;
+		return this.#shutdown.state === 'serving' && this.#configuration.routes !== undefined && this.#engines.size > 0;
 	}
 
 	async start(): Promise<void> {
@@ -265,25 +258,15 @@
 
 	/** Reports that it is not ready, waits for the requests in flight and resolves when the process may exit. */
 	async stop(): Promise<void> {
-		const {log, bounds} = this.#options;
-		const startedAt = performance.now();
-		const elapsed = () => performance.now() - startedAt;
-		this.#state = 'leaving';
+		const {log} = this.#options;
+		this.#shutdown.begin();
 		this.#peerMessenger.announce();
 		log.info('instance.leaving', {active: this.#admission.activeRequestCount});
-		while (elapsed() < bounds.gracePeriod * drainTimeoutShare) {
-			if (elapsed() > bounds.gracePeriod * admissionCutoffShare) {
-				this.#state = 'closing';
-			}
-
-			if (elapsed() > readinessPropagationDelay && this.#admission.activeRequestCount + this.#access.relayCount === 0) {
-				break;
-			}
-
+		while (!this.#shutdown.isOverdue && !(this.#shutdown.canEnd && this.#admission.activeRequestCount + this.#access.relayCount === 0)) {
 			await delay(drainCheckInterval); // eslint-disable-line no-await-in-loop
 		}
 
-		log.info('instance.stopped', {active: this.#admission.activeRequestCount, duration: Math.round(elapsed())});
+		log.info('instance.stopped', {active: this.#admission.activeRequestCount, duration: Math.round(this.#shutdown.elapsed)});
 		this.close();
 	}
 
@@ -294,7 +277,7 @@
 		}
 
 		this.#isClosed = true;
-		this.#state = 'closing';
+		this.#shutdown.close();
 		this.#listener.close();
 		this.#replication.close();
 		this.#tableServer.close();
