fix(serving): only what an engine states of the request itself says that it has not run

Reported by other operators of systems like this one: callers were told "not run, try again" for requests that an engine had run or was running, or such a request ran at a second engine. Looked for here, and found in two forms; what a faulty engine writes on a connection that is used again reaches no other request, as each connection carries one.

Cause: (1) a refusal without a request id counted for whatever request waited on the connection. (2) A status 408, 429 or 503 that an engine sends without its statement that the request has not run was passed on as it is, and made that promise to the caller.

Change: a response without the id of its request is not the engine's answer to it; the attempt is broken and the request may have run. The same goes for these three statuses without the statement. An engine's 421 needs no id, as another engine at the address may not know it. What a response says about its engine counts only after that check.

--- a/src/serving/engine-attempt.ts
+++ b/src/serving/engine-attempt.ts
@@ -18,6 +18,9 @@
 /** Maximum size of a response that is buffered until it is complete. */
 const maximumBufferedBytes = 16 * 1_048_576;
 
+/** HTTP statuses by which a caller is told that its request has not run. */
+const notRunStatuses: ReadonlySet<number> = new Set([408, 429, 503]);
+
 /** HTTP status that only an engine which did not execute the request returns, even without a header that states so. */
 const misdirectedRequestStatus = 421;
 
@@ -147,13 +150,17 @@
 		const headerValues = this.#options.protocol.parseResponseHeaders(head.headers);
 		this.#responseHead = head;
 		this.#headerValues = headerValues;
-		if (head.status !== misdirectedRequestStatus) {
-			this.#options.listener.onResponse(head.status, headerValues);
+		// Engines return the id of the request; at the address of an engine that has left, another one may not know it.
+		if (headerValues.requestId !== this.#options.requestId && (headerValues.requestId !== undefined || head.status !== misdirectedRequestStatus)) {
+			this.#finish({
+				kind: 'broken', isConnectionLost: false,
+				reason: headerValues.requestId === undefined ? `response of status ${head.status} has no request id` : `response belongs to another request "${headerValues.requestId}"`,
+			});
+			return;
 		}
 
-		if (headerValues.requestId !== undefined && headerValues.requestId !== this.#options.requestId) {
-			this.#finish({kind: 'broken', reason: `response belongs to another request "${headerValues.requestId}"`, isConnectionLost: false});
-			return;
+		if (head.status !== misdirectedRequestStatus) {
+			this.#options.listener.onResponse(head.status, headerValues);
 		}
 
 		const isSuccess = head.status >= 200 && head.status < 300;
@@ -248,6 +255,9 @@
 			this.#finish({kind: 'misdirected'});
 		} else if (this.#headerValues.isNotExecuted) {
 			this.#finish({kind: 'rejected', status, faultyEngine: this.#headerValues.faultyEngine});
+		} else if (notRunStatuses.has(status)) {
+			// Passed on, the status would tell the caller more than the engine has stated.
+			this.#finish({kind: 'broken', reason: `status ${status} without the statement that the request has not run`, isConnectionLost: false});
 		} else if (status >= 500 && !this.#headerValues.isSigned) {
 			this.#finish({kind: 'broken', reason: `status ${status} without the engine's signature`, isConnectionLost: false});
 		} else if (status >= 500 || callerResponse.hasStarted) {
