fix(serving): what has no number in a numbered stream does not reach the caller

Reported by other operators: clients found the text of an error, at times its whole head, in the middle of their stream, or the stream ended as if it were complete. Shown here by broken-streams.test.ts, four of thirteen cases: a stream broke off after event 2, and the next engine sent an error as an event or the head of a response within its stream, or the first engine sent a head after its events. The caller got these bytes, and three of the four streams ended as complete.

Cause: a head ends with an empty line, as an event does, and an event without an id passed the check of the order of events.

Change: in a stream whose events are numbered, and in one that is resumed, an event without the next number breaks the attempt, whether it has another number or none. Comments pass, as they say nothing.

Evidence: the four cases fail without the change. Errors with a status of their own, pages of other servers, and answers that are no stream never reached the caller; the other nine cases hold that.

--- a/src/serving/engine-attempt.ts
+++ b/src/serving/engine-attempt.ts
@@ -206,8 +206,9 @@
 			return false;
 		}
 
-		if (id !== undefined && this.#lastEventId !== undefined && id !== this.#lastEventId + 1) {
-			this.#finish({kind: 'broken', reason: `event ${id} received after event ${this.#lastEventId}`, isConnectionLost: false});
+		// Whatever has no number of its own in a numbered stream, such as an error that a faulty engine appends, is no part of it.
+		if (!isComment && this.#lastEventId !== undefined && id !== this.#lastEventId + 1) {
+			this.#finish({kind: 'broken', reason: `event ${id ?? 'without a number'} received after event ${this.#lastEventId}`, isConnectionLost: false});
 			return false;
 		}
 
