fix(serving): a request to the metrics port whose target is no URL is answered

Cause: the target was parsed as a URL in a promise that nobody handles; "//" is a URL without a host. The path is everything before the query now, and nothing is parsed that can fail. Without the change the new case gets no answer and its test file times out; the runner keeps the process alive that the rejection ends elsewhere.

--- a/src/serving/__tests__/operator-requests.test.ts
+++ b/src/serving/__tests__/operator-requests.test.ts
@@ -20,6 +20,13 @@
 	{
 		name: 'names an entry that cannot be decoded', method: 'DELETE', path: '/quarantine/%E0%A4', status: 404, body: /"lifted": false/v, isLifted: false,
 	},
+	// Guards against a target that is no URL, whose rejected promise ended the process.
+	{
+		name: 'reads the metrics at a path that is no URL', method: 'GET', path: '//', status: 200, body: /^\s*$/v, isLifted: false,
+	},
+	{
+		name: 'reads the list with a query', method: 'GET', path: '/quarantine?x=//', status: 200, body: /"fingerprint": "part:dead beef\/1"/v, isLifted: false,
+	},
 	{
 		name: 'reads the metrics', method: 'GET', path: '/metrics', status: 200, body: /^\s*$/v, isLifted: false,
 	},
--- a/src/serving/operator-requests.ts
+++ b/src/serving/operator-requests.ts
@@ -19,7 +19,8 @@
 	{url = '/', method = 'GET'}: Pick<http.IncomingMessage, 'url' | 'method'>,
 	response: http.ServerResponse,
 ): Promise<void> {
-	const {pathname} = new URL(url, 'http://operator');
+	// A request target need not be a URL: "//" has no host.
+	const [pathname = ''] = url.split('?');
 	if (pathname === quarantinePath) {
 		sendJson(response, 200, quarantine.describe().map(entry => ({...entry, age: Math.round(entry.age), timeUntilProbe: Math.round(entry.timeUntilProbe)})));
 	} else if (method === 'DELETE' && pathname.startsWith(`${quarantinePath}/`)) {
