fix(peers): nothing is sent to peers once the messenger is closed

At the end of a planned stop, requests that were cut or ended in the last moments reported to peers over the closed socket. The runtime throws for that (ERR_SOCKET_DGRAM_NOT_RUNNING), in a timer, so the process ended with an exception before it had written its last log lines. Found by looking for what throws in events that nothing guards.

Change: a closed messenger sends nothing. Evidence: the new case of peer-messenger.test.ts fails without the change.

--- a/src/peers/__tests__/peer-messenger.test.ts
+++ b/src/peers/__tests__/peer-messenger.test.ts
@@ -112,6 +112,27 @@
 	t.deepEqual(other.loadTracker.placementsOf('instance-1~1/').prefilledKeys, ['instance-1~1/1']);
 });
 
+// Guards against an exception in a timer, which would end the process before its last log lines are written.
+test('requests that end after the messenger was closed are not reported', async t => {
+	const [one, other] = [createInstance(45, 1), createInstance(45, 2)];
+	await one.messenger.start();
+	await other.messenger.start();
+	t.teardown(() => {
+		other.messenger.close();
+	});
+	one.messenger.contact([other.ip]);
+	await until(() => one.messenger.peerCount === 1);
+	one.messenger.placed({
+		key: 'instance-1~1/1', eventGapTarget: 250, weight: 1, startsAt: performance.now(), expiresAt: performance.now() + 10_000, assignments: [],
+	}, [other.ip]);
+	one.messenger.close();
+	one.messenger.ended('instance-1~1/1');
+	one.messenger.cooldownStarted('e', 1000, [other.ip]);
+	one.messenger.announce();
+	await sleep(200);
+	t.is(other.loadTracker.size, 0);
+});
+
 test('a messenger whose address is taken fails to start', async t => {
 	const [one, other] = [createInstance(23, 1), createInstance(23, 1)];
 	t.teardown(() => {
--- a/src/peers/peer-messenger.ts
+++ b/src/peers/peer-messenger.ts
@@ -83,6 +83,7 @@
 	#heartbeatCount = 0;
 	#lastRefutationAt = Number.NEGATIVE_INFINITY;
 	#lastAnnouncementAt = Number.NEGATIVE_INFINITY;
+	#isClosed = false;
 
 	constructor(options: PeerMessengerOptions) {
 		this.#options = options;
@@ -132,6 +133,7 @@
 	}
 
 	close(): void {
+		this.#isClosed = true;
 		clearInterval(this.#heartbeatTimer);
 		clearTimeout(this.#batchTimer);
 		this.#socket.close();
@@ -228,7 +230,7 @@
 	}
 
 	#sendTo(addresses: readonly string[], parts: Partial<PeerDatagram>): void {
-		if (addresses.length === 0) {
+		if (addresses.length === 0 || this.#isClosed) {
 			return;
 		}
 
