fix(peers): what is no IP address in the list of instances is not contacted

An entry that another writer leaves in the list of instances, or a list of a faulty peer, was handed to the runtime as an address. Found by looking for the cause of the odd entries of engines on related paths.

Change: an address is contacted only if it is one of IPv4.

--- a/src/peers/peer-contacts.ts
+++ b/src/peers/peer-contacts.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import net from 'node:net';
 import type {ReplyRequest} from './peer-datagram.js';
 
 /** Rounds of heartbeats in which an address is contacted until it replies or is given up. */
@@ -20,9 +21,9 @@
 		return [...this.#firstContacts];
 	}
 
-	/** Adds an address. @returns false if it is being contacted. */
+	/** Adds an address. @returns false if it is being contacted, or is no IP address: names are not looked up. */
 	add(address: string, replyRequest: ReplyRequest): boolean {
-		if (this.#attempts.has(address)) {
+		if (this.#attempts.has(address) || !net.isIPv4(address)) {
 			return false;
 		}
 
