fix(relay): a request with a long id is relayed

Callers of an instance that is cut off from engines were refused if their request ids had about 950 characters or more: the id is part of the request for a relay, for its log, and a relay closes the connection after a request of more than 1 KB. Found by looking for bytes of callers that one side accepts and the other rejects.

Change: a request for a relay holds the first 200 characters of the id. Evidence: both new cases of relay-protocol.property.test.ts fail without the change.

--- a/src/relay/__tests__/relay-protocol.property.test.ts
+++ b/src/relay/__tests__/relay-protocol.property.test.ts
@@ -52,3 +52,11 @@
 		}));
 	});
 });
+
+for (const requestId of ['x'.repeat(20_000), '\u00FF'.repeat(20_000)]) {
+	// Guards against relays that refuse the requests of a caller with long ids.
+	test(`a request with an id of ${requestId.length} characters, ${JSON.stringify(requestId[0])} each, is decoded with the beginning of it`, t => {
+		const encoded = encodeRelayRequest({engineId: 'e'.repeat(200), requestId, lifetime: 1500});
+		t.deepEqual(decodeRelayRequest(encoded)?.request, {engineId: 'e'.repeat(200), requestId: requestId.slice(0, 200), lifetime: 1500});
+	});
+}
--- a/src/relay/relay-protocol.ts
+++ b/src/relay/relay-protocol.ts
@@ -15,6 +15,9 @@
 /** Greatest size in bytes of an encoded request. */
 const maximumRequestSize = 1024;
 
+/** Longest part of a caller's request id that a request holds, in characters; callers choose their ids. */
+const maximumRequestIdLength = 200;
+
 /** Longest lifetime in milliseconds that is accepted. */
 const maximumLifetime = 86_400_000;
 
@@ -54,7 +57,7 @@
 }
 
 export function encodeRelayRequest({engineId, requestId, lifetime}: RelayRequest): Uint8Array {
-	const body = codec.encode([formatVersion, engineId, requestId, Math.round(lifetime)]);
+	const body = codec.encode([formatVersion, engineId, requestId.slice(0, maximumRequestIdLength), Math.round(lifetime)]);
 	const length = Buffer.alloc(requestLengthSize);
 	length.writeUInt16BE(body.length);
 	return Buffer.concat([length, body]);
