test(soak): odd input, ends of processes, and a build that replaces another

New faults: entries of another writer, six kinds; heads of a client that are not HTTP, three kinds; engines whose heads are not HTTP, that repeat a refusal of another request, or that end a stream with an error. The first two must change nothing for others, so that requests beside them are judged as calm. New check: a process that was not told to end, or that fails after SIGTERM, breaks the run.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -5,11 +5,15 @@
  */
 import http from 'node:http';
 import {callerHeaders, routePrefixes, signatureHeader} from '../platform/stand-in/deployment.js';
-import {ports} from './instances.js';
+import {ports} from './ports.js';
 
 /** Kinds of request. `large` needs the memory of several engines. */
 export type CallKind = 'stream' | 'large' | 'idempotent' | 'nonIdempotent' | 'added';
 
+/** Kinds of request by their share; two large prompts at once fill the memory of all engines. */
+const usualKinds: readonly CallKind[] = ['stream', 'stream', 'stream', 'idempotent', 'idempotent', 'nonIdempotent', 'nonIdempotent', 'added'];
+export const callKinds: readonly CallKind[] = [...usualKinds, ...usualKinds, ...usualKinds, 'large'];
+
 /** Time in milliseconds that callers wait. */
 export const deadline = 5000;
 
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -7,6 +7,9 @@
 import type {RandomGenerator} from 'pure-rand/types/RandomGenerator';
 import type {EngineFault} from '../platform/stand-in/engine.js';
 import type {StoreFault} from '../platform/stand-in/store.js';
+import {
+	oddEntries, type OddEntry, oddHeads, type OddHead,
+} from './odd-input.js';
 import type {PoisonKind} from './poison-checks.js';
 import type {LinkFault, SourceCut} from './proxy.js';
 
@@ -27,8 +30,22 @@
 	| {kind: 'store-copy'; fault: StoreFault}
 	/** Callers send requests that crash engines. */
 	| {kind: 'poison'; poison: PoisonKind}
+	/** Another writer leaves an entry among those of the engines. */
+	| {kind: 'odd-entry'; entry: OddEntry}
+	/** A client sends heads that are not HTTP. */
+	| {kind: 'odd-head'; instance: number; head: OddHead}
 );
 
+/** Whether a fault is input that changes nothing for others. */
+export function isOddInput({kind}: Fault): boolean {
+	return kind === 'odd-entry' || kind === 'odd-head';
+}
+
+/** Whether builds before this one bear a fault as well. */
+export function isBorneBefore(fault: Fault): boolean {
+	return !isOddInput(fault) && !(fault.kind === 'engine' && oddEngineFaults.has(fault.fault));
+}
+
 /** Sizes of a run. */
 export type SoakSize = {instances: number; engines: number};
 
@@ -40,7 +57,19 @@
 const linkFaults: readonly LinkFault[] = ['delay', 'reset', 'silent', 'cutForward', 'cutBack', 'dark'];
 const sourceCuts: readonly SourceCut[] = ['hang', 'reset', 'refuse'];
 const poisonKinds: readonly PoisonKind[] = ['part', 'request'];
-const engineFaults: readonly EngineFault[] = ['errors', 'shed', 'resetAfterRun', 'noResponse', 'truncatedStream', 'unframedReset', 'extraResponse'];
+/** Faults of engines that send what is not part of an answer. */
+const oddEngineFaults: ReadonlySet<EngineFault> = new Set(['earlierRefusal', 'errorEvent', 'invalidStatus', 'invalidHeader']);
+const engineFaults: readonly EngineFault[] = ['errors',
+	'shed',
+	'resetAfterRun',
+	'noResponse',
+	'truncatedStream',
+	'unframedReset',
+	'extraResponse',
+	'earlierRefusal',
+	'errorEvent',
+	'invalidStatus',
+	'invalidHeader'];
 
 /** Draws the faults of a run of so many milliseconds. */
 export function drawFaults(generator: RandomGenerator, duration: number, {instances, engines}: SoakSize): Fault[] {
@@ -82,6 +111,10 @@
 			},
 			{...span, kind: 'store-copy', fault: pick(storeFaults)},
 			{...span, kind: 'poison', poison: pick(poisonKinds)},
+			{...span, kind: 'odd-entry', entry: pick(oddEntries)},
+			{
+				...span, kind: 'odd-head', instance, head: pick(oddHeads),
+			},
 		];
 		faults.push(pick(kinds));
 		at += number(100, 1500);
--- a/soak/instances.ts
+++ b/soak/instances.ts
@@ -7,28 +7,49 @@
 import {createWriteStream} from 'node:fs';
 import {writeFile} from 'node:fs/promises';
 import path from 'node:path';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {settingsPathVariable} from '../platform/settings.js';
 import {instanceSettingsDocument} from '../platform/stand-in/deployment.js';
+import {call} from './callers.js';
+import {ports} from './ports.js';
 
-/** Ports of all instances; each has an address of its own. */
-export const ports = {callers: 18_080, readiness: 18_081, internal: 18_090};
+/** Time in milliseconds for an instance to be ready. */
+const startTime = 15_000;
 
 /** Time in milliseconds after which an instance that ended is started again. */
 const restartDelay = 300;
 
+/** The program as this tree builds it. */
+const currentProgram = 'dist/carobquay.cjs';
+
+/** What an instance is made of. */
+export type InstanceOptions = {
+	number: number;
+	/** Third number of the loopback addresses, so that runs beside each other do not meet. */
+	lane: number;
+	/** Where settings and logs are written. */
+	folder: string;
+	/** Program of another build that its first process runs, until it is restarted; undefined for the current one. */
+	programBefore: string | undefined;
+};
+
 /** One instance and the process that runs it now. */
 export class Instance {
 	readonly name: string;
 	readonly ip: string;
+	/** How processes ended that were not told to. */
+	readonly unexpectedEnds: string[] = [];
 	readonly #folder: string;
+	#program: string;
 	#process: ChildProcess | undefined;
+	#isToldToEnd = false;
 	#isStopped = false;
 
-	/** @param lane - Third number of the loopback addresses, so that runs beside each other do not meet. */
-	constructor(number: number, lane: number, folder: string) {
+	constructor({number, lane, folder, programBefore}: InstanceOptions) {
 		this.name = `instance-${number}`;
 		this.ip = `127.0.${lane}.${number}`;
 		this.#folder = folder;
+		this.#program = programBefore ?? currentProgram;
 	}
 
 	/** Whether the process has not ended. */
@@ -46,9 +67,25 @@
 	}
 
 	signal(signal: NodeJS.Signals): void {
+		this.#isToldToEnd ||= signal === 'SIGTERM' || signal === 'SIGKILL';
 		this.#process?.kill(signal);
 	}
 
+	/** Resolves when a request is served. @throws {Error} If that takes too long. */
+	async untilServing(): Promise<void> {
+		const until = performance.now() + startTime;
+		for (let tries = 0; performance.now() < until; tries++) {
+			const {status} = await call('idempotent', `start-${this.name}-${tries}`, this); // eslint-disable-line no-await-in-loop
+			if (status === 200) {
+				return;
+			}
+
+			await sleep(100); // eslint-disable-line no-await-in-loop
+		}
+
+		throw new Error(`instance ${this.name} did not serve within ${startTime} ms`);
+	}
+
 	/** Ends the process for good. */
 	async stop(): Promise<void> {
 		this.#isStopped = true;
@@ -62,15 +99,22 @@
 	}
 
 	#spawn(settings: string): void {
-		const child = spawn(process.execPath, ['--max-old-space-size=160', 'dist/carobquay.cjs', 'front'], {
+		const child = spawn(process.execPath, ['--max-old-space-size=160', this.#program, 'front'], {
 			env: {PATH: process.env.PATH, [settingsPathVariable]: settings}, stdio: ['ignore', 'pipe', 'pipe'],
 		});
 		const log = createWriteStream(path.join(this.#folder, `${this.name}.log`), {flags: 'a'});
 		child.stdout.pipe(log);
 		child.stderr.pipe(log);
 		this.#process = child;
-		child.once('exit', () => {
+		child.once('exit', (code, signal) => {
 			this.#process = undefined;
+			// After SIGTERM a process may be killed as well, but an exit of its own has to succeed.
+			if (!this.#isStopped && !(this.#isToldToEnd && (code === 0 || signal !== null)) && this.#program === currentProgram) {
+				this.unexpectedEnds.push(`code ${code}, signal ${signal}`);
+			}
+
+			this.#isToldToEnd = false;
+			this.#program = currentProgram;
 			if (!this.#isStopped) {
 				setTimeout(() => {
 					if (!this.#isStopped) {
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -14,15 +14,18 @@
 import {StandInEngine} from '../platform/stand-in/engine.js';
 import {StandInStore, type StoreFault} from '../platform/stand-in/store.js';
 import {
-	call, type Call, type CallKind, closeCallers,
+	call, type Call, callKinds, closeCallers,
 } from './callers.js';
 import {brokenPromises, type FaultWindow, type Run} from './checks.js';
 import {PoisonCallers} from './poison-callers.js';
 import {poisonProblems} from './poison-checks.js';
 import {brokenStatements, type Arrival} from './statement-checks.js';
-import {drawFaults, type Fault, type SoakSize} from './faults.js';
+import {
+	drawFaults, type Fault, isBorneBefore, isOddInput, type SoakSize,
+} from './faults.js';
 import {Instance} from './instances.js';
 import {cutSources, strikeLink} from './link-faults.js';
+import {leaveEntry, sendHeads} from './odd-input.js';
 import {Proxy} from './proxy.js';
 
 /** What a run is made of. */
@@ -34,6 +37,8 @@
 	rate: number;
 	/** Whether logs are kept where nothing broke. */
 	keepLogs: boolean;
+	/** Program of another build that the first processes run; undefined for the current one. */
+	programBefore: string | undefined;
 };
 
 /** How a run went. */
@@ -47,16 +52,9 @@
 const firstLane = 10;
 const lanes = 200;
 
-/** Time in milliseconds for all instances to be ready. */
-const startTime = 15_000;
-
 /** Time in milliseconds after the last request in which memory comes back, by the platform's bound. */
 const releaseTime = 4000;
 
-/** Kinds of request by their share; two large prompts at once fill the memory of all engines. */
-const usualKinds: readonly CallKind[] = ['stream', 'stream', 'stream', 'idempotent', 'idempotent', 'nonIdempotent', 'nonIdempotent', 'added'];
-const kinds: readonly CallKind[] = [...usualKinds, ...usualKinds, ...usualKinds, 'large'];
-
 type Engine = {
 	id: string;
 	service: string;
@@ -104,10 +102,10 @@
 	}
 
 	async run(): Promise<SoakResult> {
-		const {seed, duration, keepLogs} = this.#options;
+		const {seed, duration, keepLogs, programBefore} = this.#options;
 		const folder = await mkdtemp(path.join(os.tmpdir(), `carobquay-soak-${seed}-`));
 		const generator = xoroshiro128plus(seed);
-		const faults = drawFaults(generator, duration, this.#options);
+		const faults = drawFaults(generator, duration, this.#options).filter(fault => programBefore === undefined || isBorneBefore(fault));
 		let problems = ['the run did not end'];
 		try {
 			await this.#start(folder);
@@ -122,6 +120,7 @@
 					calls, runs: this.#runs, windows: this.#windows, events, heldReservations: this.#heldReservations(), routeAddedAt: this.#routeAddedAt,
 				}),
 				...poisonProblems(this.#poisonCallers.poisons, this.#windows),
+				...this.#instances.flatMap(({name, unexpectedEnds}) => unexpectedEnds.map(end => `the process of ${name} ended by itself: ${end}`)),
 				...brokenStatements({calls, arrivals: this.#arrivals, windows: this.#windows}),
 			];
 			return {
@@ -137,7 +136,7 @@
 	}
 
 	async #start(folder: string): Promise<void> {
-		const {instances, engines} = this.#options;
+		const {instances, engines, programBefore} = this.#options;
 		const storePort = await this.#store.listen();
 		for (let number = 0; number < engines; number++) {
 			await this.#startEngine(`engine-${number}`, number % 3 === 2 ? 'plain' : 'model'); // eslint-disable-line no-await-in-loop
@@ -145,7 +144,9 @@
 
 		this.#store.put(storeLocations.configuration.table, storeLocations.configuration.key, configurationDocument(this.#version, false));
 		this.#store.put(storeLocations.engines, 'foreign', 'no entry of an engine');
-		this.#instances = Array.from({length: instances}, (_, number) => new Instance(number + 1, firstLane + (this.#options.seed % lanes), folder));
+		this.#instances = Array.from({length: instances}, (_, number) => new Instance({
+			number: number + 1, lane: firstLane + (this.#options.seed % lanes), folder, programBefore,
+		}));
 		const seeds = this.#instances.slice(0, 2).map(({ip}) => ip);
 		for (const instance of this.#instances) {
 			const link = new Proxy(() => storePort);
@@ -153,7 +154,7 @@
 			await instance.start(await link.listen(), seeds); // eslint-disable-line no-await-in-loop
 		}
 
-		await Promise.all(this.#instances.map(async instance => this.#untilServing(instance)));
+		await Promise.all(this.#instances.map(async instance => instance.untilServing()));
 	}
 
 	async #startEngine(id: string, service: string): Promise<void> {
@@ -197,24 +198,10 @@
 		}));
 	}
 
-	async #untilServing(instance: Instance): Promise<void> {
-		const until = performance.now() + startTime;
-		for (let tries = 0; performance.now() < until; tries++) {
-			const {status} = await call('idempotent', `start-${instance.name}-${tries}`, instance); // eslint-disable-line no-await-in-loop
-			if (status === 200) {
-				return;
-			}
-
-			await sleep(100); // eslint-disable-line no-await-in-loop
-		}
-
-		throw new Error(`instance ${instance.name} did not serve within ${startTime} ms`);
-	}
-
 	async #callFor(duration: number, number: (below: number) => number, begunAt: number): Promise<void> {
 		const {rate, seed} = this.#options;
 		for (let count = 0; performance.now() - begunAt < duration; count++) {
-			const kind = kinds[number(kinds.length)]!;
+			const kind = callKinds[number(callKinds.length)]!;
 			if (kind !== 'added' || this.#isAdded) {
 				this.#calls.push(call(kind, `${seed}-${count}`, this.#instances[number(this.#instances.length)]!));
 			}
@@ -229,7 +216,11 @@
 			name: fault.kind, instance: 'instance' in fault ? this.#instances[fault.instance]!.name : undefined,
 			isPlanned: ['terminate', 'reload', 'configure', 'engine-drain'].includes(fault.kind), from: performance.now(), until: Number.POSITIVE_INFINITY,
 		};
-		this.#windows.push(window);
+		// Odd input changes nothing for others, so that requests beside it are calm.
+		if (!isOddInput(fault)) {
+			this.#windows.push(window);
+		}
+
 		await this.#strike(fault);
 		window.until = performance.now();
 	}
@@ -306,6 +297,8 @@
 				await this.#poisonCallers.send(poison, duration + statementTime, this.#instances);
 				await sleep(crashDuration);
 			})
+			.with({kind: 'odd-entry'}, async ({entry, duration}) => leaveEntry(this.#store, entry, duration))
+			.with({kind: 'odd-head'}, async ({instance, head, duration}) => sendHeads(this.#instances[instance]!, head, duration))
 			.with({kind: 'store-copy'}, async ({fault: kind, duration}) => this.#restoreStore(kind, duration))
 			.exhaustive();
 	}
