--- a/src/quarantine/__tests__/quarantine.property.test.ts
+++ b/src/quarantine/__tests__/quarantine.property.test.ts
@@ -54,6 +54,8 @@
 	{name: 'eight instances', fleet: small, load: usual},
 	{name: 'datagrams that get lost', fleet: {...small, lossPercentage: 20}, load: usual},
 	{name: 'many poisonous requests at once', fleet: small, load: {...usual, poisonous: 10}},
+	// The load of deploy/days/deadly.toml.
+	{name: 'three in a hundred of the requests', fleet: small, load: {...usual, sound: 25, poisonous: 0.8}},
 	{name: 'few poisonous requests', fleet: small, load: {...usual, poisonous: 0.4}},
 	{
 		name: 'three engines', fleet: {...small, engines: 3}, load: {...usual, sound: 8}, rememberedSeeds: [1129, 2069],
