fix(serving): an instance that cannot open one of its ports ends

Cause: the start failed, its message was written, and the process went on, as its other ports were open. Prompts wait for the peers to be known, which the last step of the start tells.

Change: a failed start closes everything and is logged; the process ends then. Ports for callers and readiness open last.

--- a/src/commands/front.ts
+++ b/src/commands/front.ts
@@ -77,7 +77,13 @@
 	process.on('SIGHUP', () => {
 		void reload(path, settings, log);
 	});
-	await instance.start();
+	try {
+		await instance.start();
+	} catch (error) {
+		log.error('instance.start-failed', {instance: settings.instance, reason: errorMessage(error)});
+		await writer.flush(lastLines);
+		throw error;
+	}
 }
 
 /** Reads the settings again and tells what would change; addresses and names are those of the start. */
--- a/src/serving/serving-instance.ts
+++ b/src/serving/serving-instance.ts
@@ -232,21 +232,14 @@
 		return this.#shutdown.state === 'serving' && this.#configuration.routes !== undefined && this.#engines.size > 0;
 	}
 
+	/** Opens all ports. @throws the error of one that cannot be opened; the others are closed then. */
 	async start(): Promise<void> {
-		const {log, callers, readiness, metrics, instance, ip} = this.#options;
-		this.#replication.start();
-		await this.#peerMessenger.start();
-		await this.#tableServer.listen(ip, this.#options.peerPort);
-		await this.#access.listen();
-		await this.#listener.listen(callers);
-		await this.#startHttpServer(readiness, (_request, response) => {
-			response.writeHead(this.isReady ? 200 : 503, ['Content-Length', '0']);
-			response.end();
-		});
-		if (metrics) {
-			await this.#startHttpServer(metrics, (request, response) => {
-				void answerOperator({metrics: this.#metrics.registry, quarantine: this.#quarantine}, request, response);
-			});
+		const {log, callers, instance, ip} = this.#options;
+		try {
+			await this.#open();
+		} catch (error) {
+			this.close();
+			throw error;
 		}
 
 		this.#peerMessenger.contact(this.#options.seeds);
@@ -292,6 +285,26 @@
 		}
 	}
 
+	async #open(): Promise<void> {
+		const {callers, readiness, metrics, ip, peerPort} = this.#options;
+		this.#replication.start();
+		await this.#peerMessenger.start();
+		await this.#tableServer.listen(ip, peerPort);
+		await this.#access.listen();
+		if (metrics) {
+			await this.#startHttpServer(metrics, (request, response) => {
+				void answerOperator({metrics: this.#metrics.registry, quarantine: this.#quarantine}, request, response);
+			});
+		}
+
+		// No request is accepted before all other ports are open.
+		await this.#listener.listen(callers);
+		await this.#startHttpServer(readiness, (_request, response) => {
+			response.writeHead(this.isReady ? 200 : 503, ['Content-Length', '0']);
+			response.end();
+		});
+	}
+
 	/** Finds the other instances, by the store if no seed has replied, then writes this instance's own address for those that start later. */
 	async #join(): Promise<void> {
 		setTimeout(() => {
