test(serving): the scripted engine of the hedging tests returns the id of its request

The protocol of these tests, which already treats answers as signed, gives them the id; nothing else changes, and nothing that they check.

--- a/src/serving/__tests__/hedged-attempts.test.ts
+++ b/src/serving/__tests__/hedged-attempts.test.ts
@@ -24,10 +24,10 @@
 /** Time in milliseconds without an event after which the first engine counts as idle. */
 const idleTimeout = 40;
 
-/** Treats every response as signed by its engine. */
+/** Treats every response as one that its engine has signed and that belongs to the request. */
 class UnsignedProtocol extends PlatformProtocol {
 	override parseResponseHeaders(headers: NodeJS.Dict<string | string[]>): ResponseHeaderValues {
-		return {...super.parseResponseHeaders(headers), isSigned: true};
+		return {...super.parseResponseHeaders(headers), isSigned: true, requestId: 'r1'};
 	}
 }
 
