fix(serving): requests that wait behind another one on a connection end when the client leaves

A client that sends several requests at once and leaves before the first answer left the others running: engines went on with them to their deadline, and a planned stop waited for them until its end. Found by reading the paths of malformed heads.

Cause: the runtime tells the end of a connection only to the response that it is being written to.

Change: a request ends with its response or with its connection. Evidence: pipelined-requests.test.ts, 1 of 3 requests ended before, 3 of 3 now.

--- a/src/serving/admission.ts
+++ b/src/serving/admission.ts
@@ -81,8 +81,10 @@
 
 		const arrivedAt = performance.now();
 		this.#activeRequestCount += 1;
-		response.once('close', () => {
+		const closing = new AbortController();
+		onceClosed(request, response, () => {
 			this.#activeRequestCount -= 1;
+			closing.abort();
 		});
 		let requestId: string | undefined;
 		let answer: CallerResponse | undefined;
@@ -109,7 +111,7 @@
 			}
 
 			await this.#forward({
-				request, response, answer, headerValues, arrivedAt,
+				request, response, answer, headerValues, arrivedAt, closed: closing.signal,
 			}, admission, body);
 		} catch (error) {
 			this.#options.log.error('request.unexpected', {request: requestId, reason: errorMessage(error)});
@@ -198,8 +200,8 @@
 	}
 
 	async #forward(
-		{request, response, answer, headerValues, arrivedAt}: {
-			request: http.IncomingMessage; response: http.ServerResponse; answer: CallerResponse; headerValues: RequestHeaderValues; arrivedAt: number;
+		{request, response, answer, headerValues, arrivedAt, closed}: {
+			request: http.IncomingMessage; response: http.ServerResponse; answer: CallerResponse; headerValues: RequestHeaderValues; arrivedAt: number; closed: AbortSignal;
 		},
 		{routes, route, service, customer}: AdmittedRequest,
 		body: Uint8Array | undefined,
@@ -230,12 +232,12 @@
 			log,
 			configurationVersion: routes.version,
 		});
-		response.once('close', () => {
+		closed.addEventListener('abort', () => {
 			if (!response.writableFinished) {
 				forwarded.cancel();
 			}
 		});
-		if (response.destroyed || request.socket.destroyed) {
+		if (closed.aborted) {
 			answer.markCallerGone();
 			return;
 		}
@@ -258,3 +260,17 @@
 		request.resume();
 	}
 }
+
+/** Calls a listener once, when a response has ended or its connection has closed, of which one that waits behind another response does not hear. */
+function onceClosed({socket}: http.IncomingMessage, response: http.ServerResponse, listener: () => void): void {
+	const close = () => {
+		socket.off('close', close);
+		response.off('close', close);
+		listener();
+	};
+
+	// A client may send any number of requests before the first response.
+	socket.setMaxListeners(0);
+	socket.once('close', close);
+	response.once('close', close);
+}
