fix(serving): a request whose client leaves is counted as ended once

The request was sent 2.16 s after SIGTERM and cut when the process ended 0.37 s later, which it does once none is in flight.

Cause, in: a request ends with its response or its connection, whichever closes first, and the listener of one is removed when the other has called. The runtime tells the response of the end of its connection while it calls the listeners of the connection, of which none is removed any more by then, so both called.

Change: the listener calls once. Evidence: pipelined-requests.test.ts looks at the count as a stop begins, -1 before, 0 now.

--- a/src/serving/admission.ts
+++ b/src/serving/admission.ts
@@ -263,7 +263,14 @@
 
 /** Calls a listener once, when a response has ended or its connection has closed, of which one that waits behind another response does not hear. */
 function onceClosed({socket}: http.IncomingMessage, response: http.ServerResponse, listener: () => void): void {
+	let isClosed = false;
 	const close = () => {
+		// The end of the connection is told while its listeners are being called, from which this one is not removed any more.
+		if (isClosed) {
+			return;
+		}
+
+		isClosed = true;
 		socket.off('close', close);
 		response.off('close', close);
 		listener();
