--- /dev/null
+++ b/src/serving/forwarded-request-options.ts
@@ -0,0 +1,43 @@
+/**
+ * What a forwarded request is made of.
+ *
+ * @module
+ */
+import type {RequestFingerprints} from '../quarantine/request-fingerprint.js';
+import type {RequestGuard} from '../quarantine/request-guard.js';
+import type {EventLog} from '../telemetry/log.js';
+import type {CallerResponse} from './caller-response.js';
+import type {EngineChooser} from './engine-chooser.js';
+import type {
+	CustomerKeys, RequestHeaderValues, RequestProtocol, Route, Service,
+} from './model.js';
+import type {ResponseBuffers} from './response-buffers.js';
+import type {RetryBudget} from './retry-budget.js';
+import type {ServingMetrics} from './serving-metrics.js';
+
+/** Options of a `ForwardedRequest`: the caller's request, its response and what serves it. */
+export type ForwardedRequestOptions = {
+	method: string;
+	path: string;
+	rawHeaders: readonly string[];
+	body: Uint8Array | undefined;
+	headerValues: RequestHeaderValues;
+	route: Route;
+	service: Service;
+	customer: CustomerKeys | undefined;
+	/** Monotonic time in milliseconds at which the request arrived. */
+	arrivedAt: number;
+	callerResponse: CallerResponse;
+	protocol: RequestProtocol;
+	chooser: EngineChooser;
+	retryBudget: RetryBudget;
+	fingerprints: RequestFingerprints;
+	/** Keeps the request from engines if it may crash them. */
+	guard: RequestGuard;
+	/** Bounds what all requests hold of their responses. */
+	buffers: ResponseBuffers;
+	metrics: ServingMetrics;
+	log: EventLog;
+	/** Version of the configuration with which the request was admitted. */
+	configurationVersion: number;
+};
--- a/src/serving/forwarded-request.ts
+++ b/src/serving/forwarded-request.ts
@@ -6,24 +6,16 @@
 import {match} from 'ts-pattern';
 import {errorCatalogue, type ErrorCode} from '../errors/catalogue.js';
 import {errorMessage} from '../errors/errors.js';
-import type {RequestFingerprints} from '../quarantine/request-fingerprint.js';
-import type {RequestGuard} from '../quarantine/request-guard.js';
 import {RequestLifecycle} from '../request/request-lifecycle.js';
 import {delay} from '../request/time-limit.js';
-import type {EventLog, LogFields} from '../telemetry/log.js';
+import type {LogFields} from '../telemetry/log.js';
 import {AttemptTally} from './attempt-tally.js';
-import type {CallerResponse} from './caller-response.js';
-import type {EngineChoiceResult, ChosenEngine, EngineChooser} from './engine-chooser.js';
+import type {EngineChoiceResult, ChosenEngine} from './engine-chooser.js';
 import {EngineAttempt, type AttemptOutcome, type EngineAttemptListener} from './engine-attempt.js';
-import type {
-	CustomerKeys, RequestHeaderValues, RequestProtocol, Route, Service,
-} from './model.js';
+import type {ForwardedRequestOptions} from './forwarded-request-options.js';
 import {HedgedAttempts, type InFlightAttempt} from './hedged-attempts.js';
 import {type RequestProgress, RequestReporter} from './request-reporter.js';
 import {establishedEventCount, observeAttempt} from './observed-attempt.js';
-import type {RetryBudget} from './retry-budget.js';
-import type {ResponseBuffers} from './response-buffers.js';
-import type {ServingMetrics} from './serving-metrics.js';
 
 /** Time in milliseconds before a request's deadline at which an unfinished request is ended. */
 const deadlineMargin = 15;
@@ -40,33 +32,6 @@
 /** Maximum delay in milliseconds before another engine is chosen to continue a started response: a few scheduler iterations, in which slots become free. */
 const maximumResumeDelay = 100;
 
-/** Options of a `ForwardedRequest`: the caller's request, its response and what serves it. */
-export type ForwardedRequestOptions = {
-	method: string;
-	path: string;
-	rawHeaders: readonly string[];
-	body: Uint8Array | undefined;
-	headerValues: RequestHeaderValues;
-	route: Route;
-	service: Service;
-	customer: CustomerKeys | undefined;
-	/** Monotonic time in milliseconds at which the request arrived. */
-	arrivedAt: number;
-	callerResponse: CallerResponse;
-	protocol: RequestProtocol;
-	chooser: EngineChooser;
-	retryBudget: RetryBudget;
-	fingerprints: RequestFingerprints;
-	/** Keeps the request from engines if it may crash them. */
-	guard: RequestGuard;
-	/** Bounds what all requests hold of their responses. */
-	buffers: ResponseBuffers;
-	metrics: ServingMetrics;
-	log: EventLog;
-	/** Version of the configuration with which the request was admitted. */
-	configurationVersion: number;
-};
-
 /** One request, from admission to its end. */
 export class ForwardedRequest {
 	readonly #options: ForwardedRequestOptions;
