feat(telemetry): requests that a stop leaves unfinished are logged, and failed ones with the silence of their engine

So the log could not tell a request that was accepted too late from one whose engine had fallen silent, nor from a process that ended too early. Now each leaves request.ended outcome=abandoned with its arrival (duration_ms), its last event and silent_ms; the time of the signal is that of instance.signal. What callers see is unchanged: the connection closes.

--- a/src/serving/admission.ts
+++ b/src/serving/admission.ts
@@ -61,6 +61,8 @@
 	readonly #buffers = new ResponseBuffers();
 	/** Connections that close after the answer to a malformed head. What follows on them may be smuggled and is not handled. */
 	readonly #malformedConnections = new WeakSet<Socket>();
+	/** Requests that were passed on and have not ended. */
+	readonly #forwardedRequests = new Set<ForwardedRequest>();
 	#activeRequestCount = 0;
 
 	constructor(options: AdmissionOptions) {
@@ -73,6 +75,16 @@
 		return this.#activeRequestCount;
 	}
 
+	/** Ends all requests that were passed on, because this process is about to end. @returns their number. */
+	abandonRequests(): number {
+		const abandoned = [...this.#forwardedRequests];
+		for (const request of abandoned) {
+			request.abandon();
+		}
+
+		return abandoned.length;
+	}
+
 	/** Handles one request until its response has ended. */
 	async handle(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
 		if (this.#malformedConnections.has(request.socket)) {
@@ -242,7 +254,12 @@
 			return;
 		}
 
-		await forwarded.run();
+		this.#forwardedRequests.add(forwarded);
+		try {
+			await forwarded.run();
+		} finally {
+			this.#forwardedRequests.delete(forwarded);
+		}
 	}
 
 	#reject(answer: CallerResponse, {requestId}: RequestHeaderValues, request: http.IncomingMessage, {code, reason}: Rejection): void {
--- a/src/serving/forwarded-request.ts
+++ b/src/serving/forwarded-request.ts
@@ -106,6 +106,14 @@
 		}
 	}
 
+	/** Ends the request, because this process is about to end. */
+	abandon(): void {
+		if (!this.#isEnded) {
+			this.#options.callerResponse.destroy();
+			this.#finish('abandoned', 0, {reason: 'this instance is shutting down'});
+		}
+	}
+
 	get #isRetryable(): boolean {
 		const {kind, isResumable} = this.#options.route;
 		return kind === 'idempotent' || isResumable;
--- a/src/serving/request-reporter.ts
+++ b/src/serving/request-reporter.ts
@@ -43,13 +43,15 @@
 export class RequestReporter {
 	readonly #options: RequestReporterOptions;
 	#firstEventAt: number | undefined;
+	#lastEventAt: number | undefined;
 
 	constructor(options: RequestReporterOptions) {
 		this.#options = options;
 	}
 
 	recordEvent(): void {
-		this.#firstEventAt ??= performance.now();
+		this.#lastEventAt = performance.now();
+		this.#firstEventAt ??= this.#lastEventAt;
 	}
 
 	recordRetry(): void {
@@ -80,7 +82,8 @@
 	/** @param fields - Further fields of the line. */
 	reportEnd(outcome: string, status: number, {sentAttempts, unsentAttempts, lastEventId}: RequestProgress, fields: LogFields): void {
 		const {route, service, customer, log, metrics, arrivedAt, configurationVersion, headerValues} = this.#options;
-		const duration = performance.now() - arrivedAt;
+		const now = performance.now();
+		const duration = now - arrivedAt;
 		const timeToFirstEvent = this.#firstEventAt === undefined ? undefined : this.#firstEventAt - arrivedAt;
 		const isFailure = outcome !== 'answered' && outcome !== 'caller-left';
 		metrics.recordEnd({
@@ -89,7 +92,7 @@
 		log[isFailure ? 'warn' : 'info']('request.ended', {
 			request: this.#requestId, route: route.name, service: service.name, customer: customer?.name, outcome, status, sent: sentAttempts, unsent: unsentAttempts,
 			last_event: lastEventId, first_event_ms: timeToFirstEvent === undefined ? undefined : Math.round(timeToFirstEvent),
-			duration_ms: Math.round(duration), version: configurationVersion, ...fields,
+			duration_ms: Math.round(duration), silent_ms: isFailure ? Math.round(now - (this.#lastEventAt ?? arrivedAt)) : undefined, version: configurationVersion, ...fields,
 		});
 	}
 
--- a/src/serving/serving-instance.ts
+++ b/src/serving/serving-instance.ts
@@ -259,7 +259,8 @@
 			await delay(drainCheckInterval); // eslint-disable-line no-await-in-loop
 		}
 
-		log.info('instance.stopped', {active: this.#admission.activeRequestCount, duration: Math.round(this.#shutdown.elapsed)});
+		const active = this.#admission.activeRequestCount;
+		log.info('instance.stopped', {active, abandoned: this.#admission.abandonRequests(), duration: Math.round(this.#shutdown.elapsed)});
 		this.close();
 	}
 
