fix(serving): requests without an answer at the end of a planned stop get one

What callers saw: the connection closed 7.8 s after SIGTERM, without an answer, where an engine had not begun to answer by then; so for requests that may run only once, and for those whose body was still arriving. Cause: a stop waited for its requests until 0.97 of the grace period and then ended the process, whatever they were waiting for. Nothing told their callers whether they may have run. Evidence: planned-stop-end.test.ts, with silent engines, status 0 for a stream, an idempotent and a non-idempotent request before this change, 502 with "ran":"unknown" now; 503 with "ran":"no" for the one whose body is not complete. Change: the stop ends its requests one by one, as a deadline does: 503 (3006) where no engine can have run it, otherwise 502 (4010, new), and only a stream that has begun is cut. Each writes request.ended. The statuses promise nothing that is not so.

--- a/src/errors/catalogue.ts
+++ b/src/errors/catalogue.ts
@@ -125,6 +125,9 @@
 	4009: {
 		status: 499, name: 'caller-left', ran: 'unknown', remedy: 'The caller closed the connection; nothing to do.',
 	},
+	4010: {
+		status: 502, name: 'instance-stopped', ran: 'unknown', retryAfter: 500, remedy: 'Ask again only if the request may run twice; another instance will answer.',
+	},
 	4103: {
 		status: 409, name: 'lease-expired', ran: 'no', retryAfter: 1000, remedy: 'Wait for the next holder of the lease.',
 	},
--- a/src/serving/admission.ts
+++ b/src/serving/admission.ts
@@ -12,6 +12,7 @@
 import {CallerRequestFingerprints} from '../quarantine/request-fingerprint.js';
 import {RequestGuard} from '../quarantine/request-guard.js';
 import type {RequestQuarantine} from '../quarantine/request-quarantine.js';
+import {delay} from '../request/time-limit.js';
 import type {EventLog} from '../telemetry/log.js';
 import {CallerResponse} from './caller-response.js';
 import type {EngineChooser} from './engine-chooser.js';
@@ -24,7 +25,7 @@
 import type {RetryBudget} from './retry-budget.js';
 import type {RouteTable} from './route-table.js';
 import type {ServingMetrics} from './serving-metrics.js';
-import type {ServingState} from './shutdown.js';
+import {type ServingState, shutdownReason} from './shutdown.js';
 
 /** Options of an `Admission`. */
 export type AdmissionOptions = {
@@ -52,7 +53,10 @@
 /** Why a request is answered without being forwarded. */
 type Rejection = {code: ErrorCode; reason: string};
 
-const shuttingDown: Rejection = {code: '3006', reason: 'this instance is shutting down'};
+/** Time in milliseconds in which the answers to abandoned requests are sent. */
+const transmissionTime = 20;
+
+const shuttingDown: Rejection = {code: '3006', reason: shutdownReason};
 
 /** Admits or rejects the requests of callers. */
 export class Admission {
@@ -63,6 +67,8 @@
 	readonly #malformedConnections = new WeakSet<Socket>();
 	/** Requests that were passed on and have not ended. */
 	readonly #forwardedRequests = new Set<ForwardedRequest>();
+	/** Aborts when requests are abandoned. */
+	readonly #abandoning = new AbortController();
 	#activeRequestCount = 0;
 
 	constructor(options: AdmissionOptions) {
@@ -75,13 +81,16 @@
 		return this.#activeRequestCount;
 	}
 
-	/** Ends all requests that were passed on, because this process is about to end. @returns their number. */
-	abandonRequests(): number {
+	/** Ends all requests, because this process is about to end. Resolves with the number of those that were passed on, when answers have been sent. */
+	async abandonRequests(): Promise<number> {
+		const isAnswering = this.#activeRequestCount > 0;
+		this.#abandoning.abort();
 		const abandoned = [...this.#forwardedRequests];
 		for (const request of abandoned) {
 			request.abandon();
 		}
 
+		await delay(isAnswering ? transmissionTime : 0);
 		return abandoned.length;
 	}
 
@@ -184,12 +193,18 @@
 		return new Promise(resolve => {
 			const chunks: Uint8Array[] = [];
 			let size = 0;
+			const {signal} = this.#abandoning;
 			const settle = (outcome: Uint8Array | Rejection) => {
 				clearTimeout(timer);
+				signal.removeEventListener('abort', abandon);
 				request.off('data', receive);
 				resolve(outcome);
 			};
 
+			const abandon = () => {
+				settle(shuttingDown);
+			};
+
 			const receive = (chunk: Uint8Array) => {
 				chunks.push(chunk);
 				size += chunk.length;
@@ -201,6 +216,7 @@
 			const timer = setTimeout(() => {
 				settle({code: '1012', reason: 'the body was not received within the timeout of the request'});
 			}, Math.max(0, timeout));
+			signal.addEventListener('abort', abandon);
 			request.on('data', receive);
 			request.once('end', () => {
 				settle(Buffer.concat(chunks));
--- a/src/serving/forwarded-request.ts
+++ b/src/serving/forwarded-request.ts
@@ -16,6 +16,7 @@
 import {HedgedAttempts, type InFlightAttempt} from './hedged-attempts.js';
 import {type RequestProgress, RequestReporter} from './request-reporter.js';
 import {establishedEventCount, observeAttempt} from './observed-attempt.js';
+import {shutdownReason} from './shutdown.js';
 
 /** Time in milliseconds before a request's deadline at which an unfinished request is ended. */
 const deadlineMargin = 15;
@@ -106,12 +107,9 @@
 		}
 	}
 
-	/** Ends the request, because this process is about to end. */
+	/** Ends the request, because this process is about to end. A caller that has no part of the answer yet gets an error. */
 	abandon(): void {
-		if (!this.#isEnded) {
-			this.#options.callerResponse.destroy();
-			this.#finish('abandoned', 0, {reason: 'this instance is shutting down'});
-		}
+		this.#giveUp({code: '3006', reason: shutdownReason, retryAfter: errorCatalogue[3006].retryAfter!}, {code: '4010', reason: 'this instance has stopped before the end of the answer'});
 	}
 
 	get #isRetryable(): boolean {
@@ -336,6 +334,11 @@
 	}
 
 	#onDeadline(): void {
+		this.#giveUp({code: '3004', reason: 'no engine accepted the request before its deadline', retryAfter: 0}, {code: '4001', reason: 'deadline exceeded'});
+	}
+
+	/** Refuses the request if no engine can have run it, fails it otherwise; does nothing if it has ended. */
+	#giveUp(refusal: {code: ErrorCode; reason: string; retryAfter: number}, failure: {code: ErrorCode; reason: string}): void {
 		if (this.#isEnded) {
 			return;
 		}
@@ -345,9 +348,9 @@
 		}
 
 		if (this.#lifecycle.ran === 'no' && !this.#options.callerResponse.hasStarted) {
-			this.#refuse('3004', 'no engine accepted the request before its deadline', 0);
+			this.#refuse(refusal.code, refusal.reason, refusal.retryAfter);
 		} else {
-			this.#fail('4001', 'deadline exceeded');
+			this.#fail(failure.code, failure.reason);
 		}
 	}
 
--- a/src/serving/serving-instance.ts
+++ b/src/serving/serving-instance.ts
@@ -260,7 +260,7 @@
 		}
 
 		const active = this.#admission.activeRequestCount;
-		log.info('instance.stopped', {active, abandoned: this.#admission.abandonRequests(), duration: Math.round(this.#shutdown.elapsed)});
+		log.info('instance.stopped', {active, abandoned: await this.#admission.abandonRequests(), duration: Math.round(this.#shutdown.elapsed)});
 		this.close();
 	}
 
--- a/src/serving/shutdown.ts
+++ b/src/serving/shutdown.ts
@@ -11,6 +11,9 @@
  */
 export type ServingState = 'serving' | 'leaving' | 'closing';
 
+/** Why requests are rejected during the stop. */
+export const shutdownReason = 'this instance is shutting down';
+
 /** Time in milliseconds after SIGTERM for which callers are still routed here: two readiness probes and a margin. */
 const readinessPropagationDelay = 2500;
 
