fix(serving): a prompt whose answer would not end before a planned stop does is refused at once

What callers saw: streams that they sent in the first 2.5 s of a stop, and whose engines were slow or fell silent, were passed on and cut after 5 s and more, 7.8 s after SIGTERM. Cause: whether a stop accepts a request was decided by the time since the signal alone, without regard to how long the request takes. Change: where this instance is shutting down and no engine can have run the request, the chosen engine's expected latency, the time to decode the most tokens that the caller allows at the engine's observed speed, and the time for another engine to go on once, have to end before requests are abandoned. Otherwise it is refused (3006), and another instance serves it. A request whose deadline ends earlier is accepted.

--- a/src/placement/prompt-placement.ts
+++ b/src/placement/prompt-placement.ts
@@ -118,6 +118,8 @@
 	holdTime: number;
 	/** Expected time to the first event. */
 	expectedLatency: number;
+	/** Factor on the published times of the primary engine. */
+	slowdown: number;
 	weight: number;
 	cost: number;
 } | {
@@ -252,6 +254,7 @@
 		prefillTime: prompt.fullPrefillTime / used.length,
 		holdTime: prompt.fullPrefillTime < longPrefillThreshold ? 0 : holdTimeFor(used),
 		expectedLatency,
+		slowdown: primary.candidate.slowdown,
 		weight: prompt.weight,
 		cost: (prompt.weight * (lateness(expectedLatency, prompt) + (additionalEngineCost * (used.length - 1)))) + penalty,
 	};
--- a/src/placement/time-estimates.ts
+++ b/src/placement/time-estimates.ts
@@ -14,6 +14,11 @@
 	return (tokens / prefillTokensPerMillisecond) + (attentionTimePerMillionPairs * tokens * tokens / 2 / million);
 }
 
+/** Time in milliseconds to decode an answer at an engine whose slots are all taken. */
+export function estimateDecodeTime(profile: EngineProfile, {promptTokens, answerTokens}: {promptTokens: number; answerTokens: number}): number {
+	return answerTokens / profile.stepsPerIteration * estimateIterationTime(profile, profile.slots, promptTokens + answerTokens);
+}
+
 /** Time in milliseconds of one scheduler iteration in which requests decode, without any prefill. */
 export function estimateIterationTime(
 	{stepsPerIteration, baseStepTime, stepTimePerRequest, stepTimePerThousandTokens}: EngineProfile,
--- a/src/serving/__tests__/engine-chooser.test.ts
+++ b/src/serving/__tests__/engine-chooser.test.ts
@@ -7,6 +7,7 @@
 import {EngineSubsetting} from '../../placement/engine-subsetting.js';
 import {LoadTracker} from '../../placement/load-tracker.js';
 import {PlacementCoordinator} from '../../placement/placement-coordinator.js';
+import type {ErrorCode} from '../../errors/catalogue.js';
 import {EventLog} from '../../telemetry/log.js';
 import {type EngineChoiceResult, EngineChooser, type EngineChoiceInput} from '../engine-chooser.js';
 import type {EngineRecord, Route, Service} from '../model.js';
@@ -26,7 +27,8 @@
 };
 
 const input: EngineChoiceInput = {
-	requestId: 'r1', service, route, remaining: 15_000, excluded: new Set(), isIsolated: false, attempt: 1, isStreamInterrupted: false, signal: new AbortController().signal,
+	requestId: 'r1', service, route, remaining: 15_000, timeUntilAbandoned: Number.POSITIVE_INFINITY,
+	excluded: new Set(), isIsolated: false, attempt: 1, isStreamInterrupted: false, signal: new AbortController().signal,
 	headerValues: {
 		requestId: 'r1', timeout: 15_000, apiKey: undefined, sharedPromptParts: [], promptTokens: 100_000, maximumAnswerTokens: 800, answerTokensHint: 800, lastEventId: undefined,
 	},
@@ -217,3 +219,27 @@
 	t.deepEqual(readyEngines.map(({id}) => id), engines.filter(engine => engine !== helper).map(({id}) => id));
 	t.true(after.kind === 'chosen' && after.engine.record !== helper && !after.engine.prefillHelpers.some(text => text.startsWith(`${helper!.address}/`)));
 });
+
+const stops: Array<{name: string; timeUntilAbandoned: number; remaining?: number; maximumAnswerTokens?: number; code: ErrorCode | undefined}> = [
+	{name: 'an instance that goes on', timeUntilAbandoned: Number.POSITIVE_INFINITY, code: undefined},
+	{name: 'a stop that leaves enough time', timeUntilAbandoned: 12_000, code: undefined},
+	{name: 'a stop that leaves too little time', timeUntilAbandoned: 6000, code: '3006'},
+	{
+		name: 'a stop that leaves enough time for a short answer', timeUntilAbandoned: 6000, maximumAnswerTokens: 50, code: undefined,
+	},
+	{
+		name: 'a stop that ends after the deadline of the request', timeUntilAbandoned: 6000, remaining: 5900, code: undefined,
+	},
+];
+
+for (const {name, code, timeUntilAbandoned, remaining = 15_000, maximumAnswerTokens = 4000} of stops) {
+	// Guards against prompts that are placed in a planned stop although their answers would be cut.
+	test.serial(`a prompt of at most 4.6 s at ${name}: ${code ?? 'placed'}`, async t => {
+		const {chooser} = createBusyChooser();
+		const result = await chooser.choose({
+			...input, timeUntilAbandoned, remaining, headerValues: {...input.headerValues, promptTokens: 5000, maximumAnswerTokens},
+		});
+		releaseOf(result)();
+		t.is(result.kind === 'refused' ? result.code : undefined, code);
+	});
+}
--- a/src/serving/__tests__/forwarded-request.test.ts
+++ b/src/serving/__tests__/forwarded-request.test.ts
@@ -43,6 +43,7 @@
 			requestId: 'r1', timeout: 0, apiKey: undefined, sharedPromptParts: [], promptTokens: undefined, maximumAnswerTokens: 0, answerTokensHint: undefined, lastEventId: undefined,
 		},
 		arrivedAt: performance.now(),
+		timeUntilAbandoned: () => Number.POSITIVE_INFINITY,
 		callerResponse: new CallerResponse(response, 'r1', () => false),
 		protocol: new PlatformProtocol(),
 		chooser: {choose: async () => ({kind: 'chosen', engine})} as unknown as EngineChooser, // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
--- a/src/serving/__tests__/hedged-attempts.test.ts
+++ b/src/serving/__tests__/hedged-attempts.test.ts
@@ -109,6 +109,7 @@
 				requestId: 'r1', timeout: undefined, apiKey: undefined, sharedPromptParts: [], promptTokens: undefined, maximumAnswerTokens: 0, answerTokensHint: undefined, lastEventId: undefined,
 			},
 			arrivedAt: performance.now(),
+			timeUntilAbandoned: () => Number.POSITIVE_INFINITY,
 			callerResponse: new CallerResponse(response, 'r1', () => false),
 			protocol: new UnsignedProtocol(),
 			chooser: { // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
--- a/src/serving/admission.ts
+++ b/src/serving/admission.ts
@@ -32,6 +32,8 @@
 	/** Routes of the active configuration; undefined until one has been received. */
 	routes: () => RouteTable | undefined;
 	state: () => ServingState;
+	/** Time in milliseconds until requests are abandoned; infinite unless this instance is shutting down. */
+	timeUntilAbandoned: () => number;
 	protocol: RequestProtocol;
 	chooser: EngineChooser;
 	retryBudget: RetryBudget;
@@ -234,7 +236,7 @@
 		{routes, route, service, customer}: AdmittedRequest,
 		body: Uint8Array | undefined,
 	): Promise<void> {
-		const {protocol, chooser, retryBudget, quarantine, metrics, log} = this.#options;
+		const {timeUntilAbandoned, protocol, chooser, retryBudget, quarantine, metrics, log} = this.#options;
 		const path = request.url ?? '/';
 		const fingerprints = new CallerRequestFingerprints({
 			path, customer: customer?.name, body, headerValues,
@@ -249,6 +251,7 @@
 			service,
 			customer,
 			arrivedAt,
+			timeUntilAbandoned,
 			callerResponse: answer,
 			protocol,
 			chooser,
--- a/src/serving/engine-chooser.ts
+++ b/src/serving/engine-chooser.ts
@@ -4,10 +4,10 @@
  * @module
  */
 import {performance} from 'node:perf_hooks';
-import type {ErrorCode} from '../errors/catalogue.js';
+import {errorCatalogue, type ErrorCode} from '../errors/catalogue.js';
 import type {CandidateCount, PlacementCoordinator, ServiceRefusal} from '../placement/placement-coordinator.js';
 import {streamIdleTimeout, type PromptDecision, type PromptProgress} from '../placement/prompt-placement.js';
-import {estimateIterationTime} from '../placement/time-estimates.js';
+import {estimateDecodeTime, estimateIterationTime} from '../placement/time-estimates.js';
 import {Reservations, type ReservationsOptions} from '../placement/reservations.js';
 import {delay} from '../request/time-limit.js';
 import type {EventLog} from '../telemetry/log.js';
@@ -17,6 +17,7 @@
 import type {
 	EngineProfile, EngineRecord, RequestHeaderValues, ResponseHeaderValues, Route, Service,
 } from './model.js';
+import {shutdownReason} from './shutdown.js';
 
 /** What is known about a request when an engine is chosen for it. */
 export type EngineChoiceInput = {
@@ -26,6 +27,8 @@
 	headerValues: RequestHeaderValues;
 	/** Time in milliseconds left until the request's deadline. */
 	remaining: number;
+	/** Time in milliseconds until this instance abandons the request, as far as it may still refuse it; infinite unless it is shutting down. */
+	timeUntilAbandoned: number;
 	/** Ids of engines that may not be chosen. */
 	excluded: ReadonlySet<string>;
 	/** Whether no further engine may prefill a part of the prompt, as the request may crash its engines. */
@@ -229,6 +232,12 @@
 				};
 			}
 
+			if (this.#isAbandonedBeforeEnd(input, profile, promptTokens, decision)) {
+				return {
+					kind: 'refused', code: '3006', reason: `${shutdownReason} before the answer would end`, retryAfter: errorCatalogue[3006].retryAfter!, isTransient: false,
+				};
+			}
+
 			const placementKey = placementCoordinator.recordPlacement(assignmentsOf(decision), {
 				eventGapTarget: requirements.eventGapTarget, weight: decision.weight, remaining: requirements.remaining, holdTime: decision.holdTime,
 			});
@@ -267,6 +276,18 @@
 		};
 	}
 
+	/** Whether this instance might abandon a request before its answer ends, with time for another engine to go on with it once. */
+	#isAbandonedBeforeEnd(
+		{timeUntilAbandoned, remaining, headerValues, route}: EngineChoiceInput, profile: EngineProfile, promptTokens: number,
+		{expectedLatency, slowdown, primary}: Extract<PromptDecision, {kind: 'place'}>,
+	): boolean {
+		const answerTokens = headerValues.maximumAnswerTokens > 0 ? headerValues.maximumAnswerTokens : headerValues.answerTokensHint ?? profile.meanTokens.answer;
+		const gapTimeout = this.#eventGapTimeout(route, primary);
+		const reliefTime = Number.isFinite(gapTimeout) ? gapTimeout + expectedLatency : 0;
+		const duration = expectedLatency + (slowdown * estimateDecodeTime(profile, {promptTokens, answerTokens})) + reliefTime;
+		return Math.min(duration, remaining) > timeUntilAbandoned;
+	}
+
 	async #waitForPeers(signal: AbortSignal): Promise<void> {
 		if (!this.#arePeersKnown) {
 			await this.#options.peersKnown;
@@ -299,11 +320,7 @@
 				return reservationId === undefined ? record.address : `${record.address}/${reservationId}`;
 			}),
 			firstEventTimeout: Math.max(minimumFirstEventTimeout, halfStreamIdleTimeout, (decision.expectedLatency - decision.holdTime) * firstEventTimeoutFactor),
-			eventGapTimeout: () => Math.max(
-				minimumEventGapTimeout,
-				eventGapTarget * eventGapTimeoutFactor,
-				minimumEventGapTimeout + (placementCoordinator.prefillBacklog(decision.primary.id) * eventGapTimeoutFactor),
-			),
+			eventGapTimeout: () => this.#eventGapTimeout(route, decision.primary),
 			release() {
 				reservations.release();
 				placementCoordinator.endPlacement(placementKey);
@@ -311,6 +328,11 @@
 		};
 	}
 
+	#eventGapTimeout({eventGapTarget = Number.POSITIVE_INFINITY}: Route, {id}: EngineRecord): number {
+		const prefillBacklog = this.#options.placementCoordinator.prefillBacklog(id);
+		return Math.max(minimumEventGapTimeout, eventGapTarget * eventGapTimeoutFactor, minimumEventGapTimeout + (prefillBacklog * eventGapTimeoutFactor));
+	}
+
 	#createRecorder({requestId, service}: EngineChoiceInput, placementKey: string, record: EngineRecord, expectedEventGap: number): AttemptRecorder {
 		return new PlacedRequestRecorder({
 			...this.#options, requestId, placementKey, record, service, expectedEventGap,
--- a/src/serving/forwarded-request-options.ts
+++ b/src/serving/forwarded-request-options.ts
@@ -27,6 +27,8 @@
 	customer: CustomerKeys | undefined;
 	/** Monotonic time in milliseconds at which the request arrived. */
 	arrivedAt: number;
+	/** Time in milliseconds until this instance abandons its requests; infinite unless it is shutting down. */
+	timeUntilAbandoned: () => number;
 	callerResponse: CallerResponse;
 	protocol: RequestProtocol;
 	chooser: EngineChooser;
--- a/src/serving/forwarded-request.ts
+++ b/src/serving/forwarded-request.ts
@@ -155,6 +155,7 @@
 		await guard.waitForJudgement();
 		const choice = await chooser.choose({
 			requestId: headerValues.requestId ?? '', service, route, headerValues, remaining: this.#lifecycle.timeRemaining,
+			timeUntilAbandoned: this.#lifecycle.ran === 'no' && !callerResponse.hasStarted ? this.#options.timeUntilAbandoned() : Number.POSITIVE_INFINITY,
 			excluded: new Set([...this.#tally.excludedEngines, ...this.#attempts.engineIds]),
 			isIsolated: guard.isIsolated, attempt: this.#tally.sent + this.#attempts.size + 1,
 			isStreamInterrupted: callerResponse.hasStarted && this.#attempts.size === 0, signal: this.#abortController.signal,
--- a/src/serving/serving-instance.ts
+++ b/src/serving/serving-instance.ts
@@ -216,7 +216,8 @@
 			},
 		});
 		this.#admission = new Admission({
-			routes: () => this.#configuration.routes, state: () => this.#shutdown.state, protocol, chooser, quarantine: this.#quarantine, metrics: this.#metrics, log,
+			routes: () => this.#configuration.routes, state: () => this.#shutdown.state, timeUntilAbandoned: () => this.#shutdown.timeLeft,
+			protocol, chooser, quarantine: this.#quarantine, metrics: this.#metrics, log,
 			retryBudget: new RetryBudget({
 				ratio: bounds.retryRatio, window: bounds.retryWindow, allowance: bounds.retryAllowance, fleet: () => this.#peerMessenger.fleet,
 			}),
--- a/src/serving/shutdown.ts
+++ b/src/serving/shutdown.ts
@@ -50,6 +50,11 @@
 		return this.#startedAt === undefined ? Number.NEGATIVE_INFINITY : performance.now() - this.#startedAt;
 	}
 
+	/** Time in milliseconds until requests in flight are abandoned; infinite before SIGTERM. */
+	get timeLeft(): number {
+		return this.#startedAt === undefined ? Number.POSITIVE_INFINITY : Math.max(0, this.#drainTimeout - this.elapsed);
+	}
+
 	/** Whether callers are no longer routed here, so that the process may end once no request is in flight. */
 	get canEnd(): boolean {
 		return this.elapsed >= readinessPropagationDelay;
