fix(serving): a planned stop answers every request that was read on a connection

Symptom: of requests that a client had sent at once on one connection, those behind the first were passed on to engines and got no answer when an instance was told to stop: the connection closed after the first answer. The same held for a request that came while an answer with "Connection: close" was being written.

Cause: each response that began after SIGTERM closed its connection, whatever waited behind it, and requests on a connection that was about to close were still handled.

Change: the response to the newest request of a connection closes it, and what comes later on that connection is not handled. Malformed heads use the same rule, so that requests before one keep their answers.

--- a/src/serving/admission.ts
+++ b/src/serving/admission.ts
@@ -5,7 +5,6 @@
  */
 import {Buffer} from 'node:buffer';
 import type http from 'node:http';
-import type {Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {errorCatalogue, type ErrorCode} from '../errors/catalogue.js';
 import {errorMessage} from '../errors/errors.js';
@@ -14,6 +13,7 @@
 import type {RequestQuarantine} from '../quarantine/request-quarantine.js';
 import {delay} from '../request/time-limit.js';
 import type {EventLog} from '../telemetry/log.js';
+import {CallerConnections} from './caller-connections.js';
 import {CallerResponse} from './caller-response.js';
 import type {EngineChooser} from './engine-chooser.js';
 import {ForwardedRequest} from './forwarded-request.js';
@@ -65,8 +65,7 @@
 	readonly #options: AdmissionOptions;
 	readonly #random: () => number;
 	readonly #buffers = new ResponseBuffers();
-	/** Connections that close after the answer to a malformed head. What follows on them may be smuggled and is not handled. */
-	readonly #malformedConnections = new WeakSet<Socket>();
+	readonly #connections = new CallerConnections();
 	/** Requests that were passed on and have not ended. */
 	readonly #forwardedRequests = new Set<ForwardedRequest>();
 	/** Aborts when requests are abandoned. */
@@ -98,7 +97,7 @@
 
 	/** Handles one request until its response has ended. */
 	async handle(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
-		if (this.#malformedConnections.has(request.socket)) {
+		if (!this.#connections.accept(request)) {
 			return;
 		}
 
@@ -114,7 +113,7 @@
 		try {
 			const headerValues = this.#options.protocol.parseRequestHeaders(request.headers);
 			({requestId} = headerValues);
-			answer = new CallerResponse(response, requestId, () => this.#options.state() !== 'serving' || this.#malformedConnections.has(request.socket));
+			answer = new CallerResponse(response, requestId, () => this.#connections.closesAfter(request, this.#options.state() !== 'serving'));
 			const admission = this.#admit(request, headerValues);
 			if ('code' in admission) {
 				this.#reject(answer, headerValues, request, admission);
@@ -145,7 +144,8 @@
 	#admit(request: http.IncomingMessage, headerValues: RequestHeaderValues): AdmittedRequest | Rejection {
 		const defect = describeInvalidRequestHead(request.url ?? '', request.rawHeaders);
 		if (defect !== undefined) {
-			this.#malformedConnections.add(request.socket);
+			// What follows on the connection may be smuggled.
+			this.#connections.closeAfterResponses(request);
 			return {code: '1013', reason: defect};
 		}
 
