fix(commands): SIGHUP does not end a process that is starting

Symptom: a process that got SIGHUP within about 140 ms of its start ended by itself, and was restarted after a delay. Callers saw refused connections.

Cause: the listener was added after the program had loaded and the settings had been read; the default action of SIGHUP ends the process.

SIGHUP 0 to 120 ms after the start ended the process, 160 ms and later did not (dist/carobquay-front.cjs, idle machine).

Change: the first module that the program of the instances loads receives the signal. One that comes before the settings were read has no effect, as they are read afterwards.

What remains are the 50 to 80 ms in which the runtime itself starts.

--- a/src/commands/front.ts
+++ b/src/commands/front.ts
@@ -32,8 +32,12 @@
 /** Time in milliseconds to write the last log lines. */
 const lastLines = 200;
 
-/** Runs the instance; the process ends when it has stopped. */
-export async function front({logLevel, metricsPort}: FrontOptions): Promise<void> {
+/**
+ * Runs the instance; the process ends when it has stopped.
+ *
+ * @param onHangup - Sets the listener for SIGHUP.
+ */
+export async function front({logLevel, metricsPort}: FrontOptions, onHangup: (listener: () => void) => void = listenForHangups): Promise<void> {
 	const writer = new LineWriter(fileDescriptorSink(1));
 	const log = new EventLog({
 		level: logLevel,
@@ -42,7 +46,11 @@
 		},
 	});
 	const path = settingsPathFromEnvironment();
-	const settings = await loadPlatformSettings(path);
+	const settingsAtStart = loadPlatformSettings(path);
+	onHangup(() => {
+		void reload(path, settingsAtStart, log);
+	});
+	const settings = await settingsAtStart;
 	const instance = new ServingInstance({
 		...settings,
 		metrics: metricsPort === undefined ? undefined : {host: settings.ip, port: Number(metricsPort)},
@@ -74,9 +82,6 @@
 	process.on('SIGINT', signal => {
 		void stop(signal);
 	});
-	process.on('SIGHUP', () => {
-		void reload(path, settings, log);
-	});
 	try {
 		await instance.start();
 	} catch (error) {
@@ -86,11 +91,15 @@
 	}
 }
 
+function listenForHangups(listener: () => void): void {
+	process.on('SIGHUP', listener);
+}
+
 /** Reads the settings again and tells what would change; addresses and names are those of the start. */
-async function reload(path: string, before: Record<string, unknown>, log: EventLog): Promise<void> {
+async function reload(path: string, before: Promise<Record<string, unknown>>, log: EventLog): Promise<void> {
 	try {
 		const after = await loadPlatformSettings(path);
-		log.info('instance.reloaded', {changed: JSON.stringify(after) !== JSON.stringify(before)});
+		log.info('instance.reloaded', {changed: JSON.stringify(after) !== JSON.stringify(await before)});
 	} catch (error) {
 		log.error('instance.reload-failed', {reason: errorMessage(error)});
 	}
--- a/src/front-cli.ts
+++ b/src/front-cli.ts
@@ -6,13 +6,15 @@
  */
 import process from 'node:process';
 import {Command} from 'commander';
+// Before the other modules, which take a while to load.
+import {onHangup} from './commands/hangup-signal.js';
 import {declareFrontCommand} from './commands/front-command.js';
 import {front} from './commands/front.js';
 import {reportFailure} from './commands/report-failure.js';
 import {version} from './version.js';
 
 const program = new Command('carobquay-front').version(version).exitOverride();
-declareFrontCommand(program, front);
+declareFrontCommand(program, async options => front(options, onHangup));
 
 async function main(): Promise<void> {
 	try {
