test(soak): planned work in series while engines are silent

No request may be lost beside planned work: the check counts connections that end without a status as well, and SIGTERM, SIGHUP and configurations each by their own spans. The check of cuts by planned work excuses what the platform's rule does and nothing else: the deadline, the route's timeout, and an engine at work in the last sixth of the grace period on a request sent within 3 s of SIGTERM. Streams of the other runs are too short for any of these.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -10,18 +10,24 @@
 /** Kinds of request. `large` needs the memory of several engines. */
 export type CallKind = 'stream' | 'large' | 'idempotent' | 'nonIdempotent' | 'added';
 
-/** Kinds of request by their share; two large prompts at once fill the memory of all engines. */
-const usualKinds: readonly CallKind[] = ['stream', 'stream', 'stream', 'idempotent', 'idempotent', 'nonIdempotent', 'nonIdempotent', 'added'];
-export const callKinds: readonly CallKind[] = [...usualKinds, ...usualKinds, ...usualKinds, 'large'];
+/** Kinds of request by their share. */
+const smallKinds: readonly CallKind[] = ['stream', 'stream', 'stream', 'idempotent', 'idempotent', 'nonIdempotent', 'nonIdempotent', 'added'];
 
-/** Time in milliseconds that callers wait. */
-export const deadline = 5000;
+/** Kinds of request, one in so many of them large; two large prompts at once fill the memory of all engines. */
+export function kindsWithLarge(interval: number): readonly CallKind[] {
+	return [...Array.from({length: interval - 1}, (_, index) => smallKinds[index % smallKinds.length]!), 'large'];
+}
+
+/** Time in milliseconds that callers wait, if nothing else is said. */
+const defaultDeadline = 5000;
 
 /** What became of a request. */
 export type Call = {
 	id: string;
 	kind: CallKind;
 	instance: string;
+	/** In milliseconds. */
+	deadline: number;
 	startedAt: number;
 	endedAt: number;
 	/** 0 where no answer came. */
@@ -54,12 +60,15 @@
 	name?: string;
 	/** Ids of the parts of its prompt. */
 	promptParts?: readonly string[];
+	/** In milliseconds. */
+	deadline?: number;
 };
 
 /** Sends one request and resolves when it is over. @param id - Unique among all requests of the run. */
 export async function call(kind: CallKind, id: string, {name, ip}: {name: string; ip: string}, details: CallDetails = {}): Promise<Call> {
+	const {deadline = defaultDeadline} = details;
 	const outcome: Call = {
-		id, kind, instance: name, startedAt: performance.now(), endedAt: 0, status: 0, signed: false, whole: false, body: '', failure: undefined,
+		id, kind, instance: name, deadline, startedAt: performance.now(), endedAt: 0, status: 0, signed: false, whole: false, body: '', failure: undefined,
 	};
 	const {method, path} = targets[kind];
 	return new Promise(resolve => {
--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -5,7 +5,10 @@
  */
 import {customerName} from '../platform/stand-in/deployment.js';
 import {eventText, plainResponseBody} from '../platform/stand-in/engine.js';
-import {type Call, deadline} from './callers.js';
+import type {Call} from './callers.js';
+import {
+	hasTimedOut, isExcusedByStop, lostRequests, type PlannedEvidence,
+} from './planned-checks.js';
 
 /** Statuses that promise that a request has not run and never will. */
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -35,10 +38,8 @@
 export type FaultWindow = {name: string; instance: string | undefined; isPlanned: boolean; from: number; until: number};
 
 /** All that a run has to show. */
-export type Evidence = {
-	calls: readonly Call[];
+export type Evidence = PlannedEvidence & {
 	runs: readonly Run[];
-	windows: readonly FaultWindow[];
 	/** Events of a whole stream. */
 	events: number;
 	/** When the store acknowledged the configuration that adds the route of `added` requests. */
@@ -58,6 +59,7 @@
 		...evidence.calls.flatMap(call => callProblems(call, runsOf.get(call.id) ?? 0, evidence.events)),
 		...evidence.runs.filter(run => run.customer !== customerName).map(run => `request ${run.requestId} ran for customer ${String(run.customer)}`),
 		...plannedProblems(evidence),
+		...lostRequests(evidence),
 		...calmProblems(evidence),
 		...configurationProblems(evidence),
 		...(evidence.heldReservations > 0 ? [`${evidence.heldReservations} reservations were not given back`] : []),
@@ -78,7 +80,7 @@
 		say(`was answered ${call.status} and ran`);
 	}
 
-	if (call.endedAt - call.startedAt > deadline + overtime) {
+	if (call.endedAt - call.startedAt > call.deadline + overtime) {
 		say(`took ${Math.round(call.endedAt - call.startedAt)} ms`);
 	}
 
@@ -99,13 +101,14 @@
 }
 
 /** Planned work alone cuts no request that was sent before it or soon after. */
-function plannedProblems({calls, windows}: Evidence): string[] {
+function plannedProblems(evidence: Evidence): string[] {
+	const {calls, windows, requestTimeouts} = evidence;
 	return calls.filter(call => {
 		const around = windows.filter(window => window.until >= call.startedAt - calmMargin && window.from <= call.endedAt);
 		const planned = around.filter(({isPlanned, instance}) => isPlanned && instance === call.instance);
 		return planned.length > 0 && around.every(window => window.isPlanned) && call.failure !== undefined
 			// A connection that the process closed before it read the request is no cut.
-			&& call.status !== 0;
+			&& call.status !== 0 && !isExcusedByStop(call, evidence) && !hasTimedOut(call, requestTimeouts);
 	}).map(call => `request ${call.id} (${call.kind}) was cut by planned work at ${call.instance}: ${String(call.failure)}`);
 }
 
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -11,6 +11,7 @@
 	oddEntries, type OddEntry, oddHeads, type OddHead,
 } from './odd-input.js';
 import type {PoisonKind} from './poison-checks.js';
+import type {ConfigurationChange} from './planned-work.js';
 import type {LinkFault, SourceCut} from './proxy.js';
 
 /** One fault. Numbers name instances, engines and links. */
@@ -26,6 +27,9 @@
 	| {kind: 'engine-restart' | 'engine-drain' | 'engine-leave' | 'engine-pause'; engine: number}
 	/** `limit` is in requests a second. */
 	| {kind: 'engine-limit'; engine: number; limit: number}
+	/** Engines neither read nor answer anything, with their connections open. */
+	| {kind: 'silence'; engines: readonly number[]}
+	| {kind: 'reconfigure'; change: ConfigurationChange}
 	/** The store is away with a fault for a moment, then comes back from a copy as old as the duration. */
 	| {kind: 'store-copy'; fault: StoreFault}
 	/** Callers send requests that crash engines. */
@@ -36,6 +40,14 @@
 	| {kind: 'odd-head'; instance: number; head: OddHead}
 );
 
+/** Kinds of planned work, and silence of engines, which excuses no cut beside it. */
+const plannedKinds: ReadonlySet<Fault['kind']> = new Set(['terminate', 'reload', 'configure', 'reconfigure', 'engine-drain', 'silence']);
+
+/** Whether a fault must cut nothing. */
+export function isPlanned({kind}: Fault): boolean {
+	return plannedKinds.has(kind);
+}
+
 /** Whether a fault is input that changes nothing for others. */
 export function isOddInput({kind}: Fault): boolean {
 	return kind === 'odd-entry' || kind === 'odd-head';
--- a/soak/instances.ts
+++ b/soak/instances.ts
@@ -20,7 +20,7 @@
 const restartDelay = 300;
 
 /** The program as this tree builds it. */
-const currentProgram = 'dist/carobquay.cjs';
+const currentProgram = 'dist/carobquay-front.cjs';
 
 /** What an instance is made of. */
 export type InstanceOptions = {
@@ -39,10 +39,14 @@
 	readonly ip: string;
 	/** How processes ended that were not told to. */
 	readonly unexpectedEnds: string[] = [];
+	/** Monotonic times in milliseconds at which processes were first told to end. */
+	readonly stops: number[] = [];
 	readonly #folder: string;
 	#program: string;
 	#process: ChildProcess | undefined;
 	#isToldToEnd = false;
+	/** Whether the process has written a line, so that it listens for signals. */
+	#hasLogged = false;
 	#isStopped = false;
 
 	constructor({number, lane, folder, programBefore}: InstanceOptions) {
@@ -67,6 +71,14 @@
 	}
 
 	signal(signal: NodeJS.Signals): void {
+		if (signal === 'SIGHUP' && !this.#hasLogged) {
+			return;
+		}
+
+		if (signal === 'SIGTERM' && this.#process && !this.#isToldToEnd) {
+			this.stops.push(performance.now());
+		}
+
 		this.#isToldToEnd ||= signal === 'SIGTERM' || signal === 'SIGKILL';
 		this.#process?.kill(signal);
 	}
@@ -105,6 +117,10 @@
 		const log = createWriteStream(path.join(this.#folder, `${this.name}.log`), {flags: 'a'});
 		child.stdout.pipe(log);
 		child.stderr.pipe(log);
+		this.#hasLogged = false;
+		child.stdout.once('data', () => {
+			this.#hasLogged = true;
+		});
 		this.#process = child;
 		child.once('exit', (code, signal) => {
 			this.#process = undefined;
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -15,16 +15,17 @@
 	.option('--engines <number>', 'stand-ins of engines', '6')
 	.option('--rate <number>', 'requests a second', '40')
 	.option('--before <path>', 'program of another build, with which the instances start; a restart brings the current one')
+	.option('--planned', 'planned work and silence of engines instead of the other faults', false)
 	.option('--keep-logs', 'keep the logs of runs that passed', false)
 	.parse();
-const options = program.opts<{seeds: string; from: string; seconds: string; instances: string; engines: string; rate: string; before?: string; keepLogs: boolean}>();
+const options = program.opts<{seeds: string; from: string; seconds: string; instances: string; engines: string; rate: string; before?: string; planned: boolean; keepLogs: boolean}>();
 
 let passed = 0;
 let failed = 0;
 for (let seed = Number(options.from); seed < Number(options.from) + Number(options.seeds); seed++) {
 	const run = new SoakRun({
 		seed, duration: Number(options.seconds) * 1000, instances: Number(options.instances), engines: Number(options.engines), rate: Number(options.rate),
-		keepLogs: options.keepLogs, programBefore: options.before,
+		isPlanned: options.planned, keepLogs: options.keepLogs, programBefore: options.before,
 	});
 	const {problems, calls, served, logs, faults} = await run.run(); // eslint-disable-line no-await-in-loop
 	const outcome = problems.length === 0 ? 'held' : 'broken';
--- /dev/null
+++ b/soak/operator.ts
@@ -0,0 +1,60 @@
+/**
+ * The operator, who writes configurations to the store.
+ *
+ * @module
+ */
+import {
+	configurationDocument, type ConfiguredTimes, defaultTimes, storeLocations,
+} from '../platform/stand-in/deployment.js';
+import type {StandInStore} from '../platform/stand-in/store.js';
+import type {ConfigurationChange} from './planned-work.js';
+
+/** Step from one version to the next; versions increase unevenly. */
+const versionStep = 3;
+
+/** Operator of one run. */
+export class Operator {
+	/** Timeouts of routes in milliseconds in all versions so far. */
+	readonly requestTimeouts = new Set([defaultTimes.requestTimeout]);
+	readonly #store: StandInStore;
+	#version = 1;
+	#hasAddedRoute = false;
+	#times: ConfiguredTimes = defaultTimes;
+	/** When the store acknowledged the configuration that adds a route. */
+	#routeAddedAt = Number.POSITIVE_INFINITY;
+
+	/** @param requestTimeout - Timeout of all routes in the first version; undefined for the stand-in's. */
+	constructor(store: StandInStore, requestTimeout: number = defaultTimes.requestTimeout) {
+		this.#store = store;
+		this.#times = {...defaultTimes, requestTimeout};
+		this.requestTimeouts = new Set([requestTimeout]);
+	}
+
+	get routeAddedAt(): number {
+		return this.#routeAddedAt;
+	}
+
+	addRoute(): void {
+		this.#version += versionStep;
+		this.#hasAddedRoute = true;
+		this.write();
+		this.#routeAddedAt = Math.min(this.#routeAddedAt, performance.now());
+	}
+
+	change(change: ConfigurationChange): void {
+		this.#version += versionStep;
+		if ('hasExtraRoute' in change) {
+			this.#hasAddedRoute = change.hasExtraRoute;
+		} else {
+			this.#times = {...this.#times, ...change};
+			this.requestTimeouts.add(this.#times.requestTimeout);
+		}
+
+		this.write();
+	}
+
+	/** Writes the newest version, again if the store has lost it. */
+	write(): void {
+		this.#store.put(storeLocations.configuration.table, storeLocations.configuration.key, configurationDocument(this.#version, this.#hasAddedRoute, this.#times));
+	}
+}
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -10,23 +10,27 @@
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {match} from 'ts-pattern';
-import {configurationDocument, engineRowDocument, storeLocations} from '../platform/stand-in/deployment.js';
+import {engineRowDocument, storeLocations} from '../platform/stand-in/deployment.js';
 import {StandInEngine} from '../platform/stand-in/engine.js';
 import {StandInStore, type StoreFault} from '../platform/stand-in/store.js';
 import {
-	call, type Call, callKinds, closeCallers,
+	call, type Call, closeCallers,
 } from './callers.js';
 import {brokenPromises, type FaultWindow, type Run} from './checks.js';
 import {PoisonCallers} from './poison-callers.js';
 import {poisonProblems} from './poison-checks.js';
 import {brokenStatements, type Arrival} from './statement-checks.js';
 import {
-	drawFaults, type Fault, isBorneBefore, isOddInput, type SoakSize,
+	drawFaults, type Fault, isBorneBefore, isOddInput, isPlanned, type SoakSize,
 } from './faults.js';
 import {Instance} from './instances.js';
 import {cutSources, strikeLink} from './link-faults.js';
 import {leaveEntry, sendHeads} from './odd-input.js';
+import {Operator} from './operator.js';
+import {drawPlannedWork, silenceEngines} from './planned-work.js';
 import {Proxy} from './proxy.js';
+import {plannedTraffic, type Traffic, usualTraffic} from './traffic.js';
+import {EngineWork} from './engine-work.js';
 
 /** What a run is made of. */
 export type SoakOptions = SoakSize & {
@@ -35,6 +39,8 @@
 	duration: number;
 	/** Requests a second. */
 	rate: number;
+	/** Whether there is planned work and silence of engines alone. */
+	isPlanned: boolean;
 	/** Whether logs are kept where nothing broke. */
 	keepLogs: boolean;
 	/** Program of another build that the first processes run; undefined for the current one. */
@@ -44,10 +50,6 @@
 /** How a run went. */
 export type SoakResult = {problems: string[]; calls: number; served: number; logs: string | undefined; faults: readonly Fault[]};
 
-/** Events of each stream and their distance in milliseconds. */
-const events = 8;
-const pace = 30;
-
 /** Loopback networks of runs, by their seeds. */
 const firstLane = 10;
 const lanes = 200;
@@ -80,6 +82,9 @@
 export class SoakRun {
 	readonly #options: SoakOptions;
 	readonly #store = new StandInStore();
+	readonly #operator: Operator;
+	readonly #traffic: Traffic;
+	readonly #work = new EngineWork();
 	readonly #engines: Engine[] = [];
 	readonly #storeLinks: Proxy[] = [];
 	readonly #runs: Run[] = [];
@@ -89,35 +94,35 @@
 	#isStopped = false;
 	readonly #calls: Array<Promise<Call>> = [];
 	#instances: Instance[] = [];
-	#version = 1;
 	#isAdded = false;
 	/** All engines that were started, those that have been replaced included. */
 	readonly #models: StandInEngine[] = [];
-	/** When the store acknowledged the configuration that adds a route. */
-	#routeAddedAt = Number.POSITIVE_INFINITY;
 
 	constructor(options: SoakOptions) {
 		this.#options = options;
 		this.#poisonCallers = new PoisonCallers(options.seed);
+		this.#traffic = options.isPlanned ? plannedTraffic : usualTraffic;
+		this.#operator = new Operator(this.#store, this.#traffic.requestTimeout);
 	}
 
 	async run(): Promise<SoakResult> {
 		const {seed, duration, keepLogs, programBefore} = this.#options;
 		const folder = await mkdtemp(path.join(os.tmpdir(), `carobquay-soak-${seed}-`));
 		const generator = xoroshiro128plus(seed);
-		const faults = drawFaults(generator, duration, this.#options).filter(fault => programBefore === undefined || isBorneBefore(fault));
+		const faults = (this.#options.isPlanned ? drawPlannedWork : drawFaults)(generator, duration, this.#options).filter(fault => programBefore === undefined || isBorneBefore(fault));
 		let problems = ['the run did not end'];
 		try {
 			await this.#start(folder);
 			const begunAt = performance.now();
-			const playing = Promise.all(faults.map(async fault => this.#play(fault)));
+			const playing = Promise.all(faults.map(async fault => this.#playFault(fault)));
 			await this.#callFor(duration, number => uniformInt(generator, 0, number - 1), begunAt);
 			await playing;
 			const calls = await Promise.all(this.#calls);
 			await sleep(releaseTime);
 			problems = [
 				...brokenPromises({
-					calls, runs: this.#runs, windows: this.#windows, events, heldReservations: this.#heldReservations(), routeAddedAt: this.#routeAddedAt,
+					calls, runs: this.#runs, windows: this.#windows, events: this.#traffic.events, heldReservations: this.#heldReservations(), routeAddedAt: this.#operator.routeAddedAt,
+					workEnds: this.#work.ends, stops: new Map(this.#instances.map(({name, stops}) => [name, stops])), requestTimeouts: this.#operator.requestTimeouts,
 				}),
 				...poisonProblems(this.#poisonCallers.poisons, this.#windows),
 				...this.#instances.flatMap(({name, unexpectedEnds}) => unexpectedEnds.map(end => `the process of ${name} ended by itself: ${end}`)),
@@ -142,7 +147,7 @@
 			await this.#startEngine(`engine-${number}`, number % 3 === 2 ? 'plain' : 'model'); // eslint-disable-line no-await-in-loop
 		}
 
-		this.#store.put(storeLocations.configuration.table, storeLocations.configuration.key, configurationDocument(this.#version, false));
+		this.#operator.write();
 		this.#store.put(storeLocations.engines, 'foreign', 'no entry of an engine');
 		this.#instances = Array.from({length: instances}, (_, number) => new Instance({
 			number: number + 1, lane: firstLane + (this.#options.seed % lanes), folder, programBefore,
@@ -170,7 +175,7 @@
 	#model(id: string): StandInEngine {
 		const start = this.#models.length;
 		const model: StandInEngine = new StandInEngine({
-			id, eventsPerStream: events, eventInterval: pace,
+			id, eventsPerStream: this.#traffic.events, eventInterval: this.#traffic.pace,
 			crashesOn: request => this.#poisonCallers.isPoisonous(request),
 			onCrash: request => {
 				this.#poisonCallers.recordCrash(request);
@@ -179,6 +184,10 @@
 			recorder: {
 				recordRun: run => {
 					this.#runs.push(run);
+					this.#work.begin(run.requestId);
+				},
+				recordEnd: ({requestId}) => {
+					this.#work.end(requestId);
 				},
 				recordArrival: arrival => {
 					this.#arrivals.push({...arrival, start, at: performance.now()});
@@ -201,20 +210,20 @@
 	async #callFor(duration: number, number: (below: number) => number, begunAt: number): Promise<void> {
 		const {rate, seed} = this.#options;
 		for (let count = 0; performance.now() - begunAt < duration; count++) {
-			const kind = callKinds[number(callKinds.length)]!;
+			const kind = this.#traffic.kinds[number(this.#traffic.kinds.length)]!;
 			if (kind !== 'added' || this.#isAdded) {
-				this.#calls.push(call(kind, `${seed}-${count}`, this.#instances[number(this.#instances.length)]!));
+				this.#calls.push(call(kind, `${seed}-${count}`, this.#instances[number(this.#instances.length)]!, {deadline: this.#traffic.deadline}));
 			}
 
-			await sleep(1000 / rate); // eslint-disable-line no-await-in-loop
+			await sleep(1000 / (rate * this.#traffic.rateShare)); // eslint-disable-line no-await-in-loop
 		}
 	}
 
-	async #play(fault: Fault): Promise<void> {
+	async #playFault(fault: Fault): Promise<void> {
 		await sleep(fault.at);
 		const window: FaultWindow = {
 			name: fault.kind, instance: 'instance' in fault ? this.#instances[fault.instance]!.name : undefined,
-			isPlanned: ['terminate', 'reload', 'configure', 'engine-drain'].includes(fault.kind), from: performance.now(), until: Number.POSITIVE_INFINITY,
+			isPlanned: isPlanned(fault), from: performance.now(), until: Number.POSITIVE_INFINITY,
 		};
 		// Odd input changes nothing for others, so that requests beside it are calm.
 		if (!isOddInput(fault)) {
@@ -228,8 +237,7 @@
 	async #strike(fault: Fault): Promise<void> {
 		await match(fault)
 			.with({kind: 'kill'}, async ({instance, duration}) => this.#signal(instance, 'SIGKILL', duration))
-			.with({kind: 'terminate'}, async ({instance, duration}) => this.#signal(instance, 'SIGTERM', duration))
-			.with({kind: 'reload'}, async ({instance, duration}) => this.#signal(instance, 'SIGHUP', duration))
+			.with({kind: 'terminate'}, {kind: 'reload'}, async ({kind, instance, duration}) => this.#signal(instance, kind === 'reload' ? 'SIGHUP' : 'SIGTERM', duration))
 			.with({kind: 'pause'}, async ({instance, duration}) => {
 				await this.#signal(instance, 'SIGSTOP', duration);
 				this.#instances[instance]!.signal('SIGCONT');
@@ -248,12 +256,15 @@
 				this.#store.dropHistory();
 			})
 			.with({kind: 'configure'}, async ({duration}) => {
-				this.#version += 3;
-				this.#writeConfiguration();
-				this.#routeAddedAt = Math.min(this.#routeAddedAt, performance.now());
+				this.#operator.addRoute();
 				await sleep(duration);
 				this.#isAdded = true;
 			})
+			.with({kind: 'reconfigure'}, async ({change, duration}) => {
+				this.#operator.change(change);
+				await sleep(duration);
+			})
+			.with({kind: 'silence'}, async ({engines, duration}) => silenceEngines(engines.map(engine => this.#engines[engine]!.model), duration))
 			.with({kind: 'store-link'}, async ({instance, fault: kind, duration}) => strikeLink(this.#storeLinks[instance]!, kind, duration))
 			.with({kind: 'engine-link'}, async ({engine, fault: kind, duration}) => strikeLink(this.#engines[engine]!.proxy, kind, duration))
 			.with({kind: 'instances-cut'}, async ({instances, cut, duration}) => {
@@ -312,21 +323,18 @@
 		this.#store.restore(copy);
 		this.#store.fault = 'none';
 		await sleep(rewriteDelay);
-		this.#writeConfiguration();
+		this.#operator.write();
 		for (const engine of this.#engines) {
 			this.#enter(engine, engine.state);
 		}
 	}
 
-	#writeConfiguration(): void {
-		this.#store.put(storeLocations.configuration.table, storeLocations.configuration.key, configurationDocument(this.#version, this.#version > 1));
-	}
-
-	async #signal(instance: number, signal: NodeJS.Signals, duration: number): Promise<void> {
-		this.#instances[instance]!.signal(signal);
+	/** The span lasts until a process that was told to end runs again. */
+	async #signal(number: number, signal: NodeJS.Signals, duration: number): Promise<void> {
+		const instance = this.#instances[number]!;
+		instance.signal(signal);
 		await sleep(duration);
-		// The span lasts until a process that was told to end runs again.
-		while (!this.#instances[instance]!.isRunning) {
+		while (!instance.isRunning) {
 			await sleep(50); // eslint-disable-line no-await-in-loop
 		}
 
