test(soak): SIGHUP is sent to processes that are starting as well

Until now it was held back until a process had written a line. It is sent at any time again; only an end by SIGHUP before the first line of a process is not counted, as the runtime itself has no listener for the first 50 to 80 ms.

--- a/soak/instances.ts
+++ b/soak/instances.ts
@@ -45,7 +45,7 @@
 	#program: string;
 	#process: ChildProcess | undefined;
 	#isToldToEnd = false;
-	/** Whether the process has written a line, so that it listens for signals. */
+	/** Whether the process has written a line, so that its runtime has started. Before that, SIGHUP ends any process. */
 	#hasLogged = false;
 	#isStopped = false;
 
@@ -71,10 +71,6 @@
 	}
 
 	signal(signal: NodeJS.Signals): void {
-		if (signal === 'SIGHUP' && !this.#hasLogged) {
-			return;
-		}
-
 		if (signal === 'SIGTERM' && this.#process && !this.#isToldToEnd) {
 			this.stops.push(performance.now());
 		}
@@ -124,8 +120,9 @@
 		this.#process = child;
 		child.once('exit', (code, signal) => {
 			this.#process = undefined;
+			const hadNoListener = signal === 'SIGHUP' && !this.#hasLogged;
 			// After SIGTERM a process may be killed as well, but an exit of its own has to succeed.
-			if (!this.#isStopped && !(this.#isToldToEnd && (code === 0 || signal !== null)) && this.#program === currentProgram) {
+			if (!this.#isStopped && !hadNoListener && !(this.#isToldToEnd && (code === 0 || signal !== null)) && this.#program === currentProgram) {
 				this.unexpectedEnds.push(`code ${code}, signal ${signal}`);
 			}
 
