fix(serving): what a client sends behind a request does not cut its answer

Symptom: bytes that are not HTTP, or a head that was not complete within the header timeout, ended the answer to the request before them on the connection: a stream was cut, and a request whose answer had not begun got status 400 or 408 of the runtime although an engine was running it.

Cause: the runtime's default for such errors closes the connection at once.

Evidence: both new tests of pipelined-requests.test.ts failed before (r2 got status 400; the stream ended before event 12).

Change: the listener answers such errors itself, as the runtime does (compared for nine kinds of wrong input: equal but for this one). Where requests before them are complete and unanswered, the connection closes after their responses, and nothing that follows is handled.

Result: the tests pass, with malformed-heads.

--- a/src/serving/caller-listener.ts
+++ b/src/serving/caller-listener.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import http from 'node:http';
+import type {Socket} from 'node:net';
 import type {CallerLimits} from './model.js';
 
 /** Greatest size in bytes of a request's headers; a little above the deployments' limit of 16 KiB. */
@@ -21,14 +22,32 @@
 /** Handles one request of a caller. */
 export type RequestHandler = (request: http.IncomingMessage, response: http.ServerResponse) => void;
 
+/** Statuses of answers to what the parser rejects, by its error codes; others get status 400. */
+const rejectionStatuses: Readonly<Record<string, number>> = {HPE_HEADER_OVERFLOW: 431, HPE_CHUNK_EXTENSIONS_OVERFLOW: 413, ERR_HTTP_REQUEST_TIMEOUT: 408};
+
+/** Error code of a connection that the client has closed within a head. */
+const endWithinHead = 'HPE_INVALID_EOF_STATE';
+
 /** HTTP server for callers. */
 export class CallerListener {
 	readonly #server: http.Server;
+	/** Newest request and its response by connection. */
+	readonly #newest = new WeakMap<Socket, {request: http.IncomingMessage; response: http.ServerResponse}>();
+	/** Connections that close after the responses to what was received before an error. */
+	readonly #failed = new WeakSet<Socket>();
 
 	constructor(handler: RequestHandler) {
 		this.#server = http.createServer({
 			maxHeaderSize: maximumHeaderBytes, connectionsCheckingInterval: connectionCheckInterval, requestTimeout: 0, noDelay: true,
-		}, handler);
+		}, (request, response) => {
+			if (!this.#failed.has(request.socket)) {
+				this.#newest.set(request.socket, {request, response});
+				handler(request, response);
+			}
+		});
+		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+			this.#handleClientError(error, socket);
+		});
 	}
 
 	/** Applies the limits of a configuration from now on. */
@@ -51,4 +70,29 @@
 		this.#server.close();
 		this.#server.closeIdleConnections();
 	}
+
+	/** Answers what is not HTTP, or too late, and closes its connection; not before the responses to complete requests that came before it. */
+	#handleClientError({code = ''}: NodeJS.ErrnoException, socket: Socket): void {
+		const newest = this.#newest.get(socket);
+		const isAnswered = newest?.response.writableFinished ?? true;
+		if (socket.writable && !isAnswered && newest?.request.complete === true && code !== endWithinHead) {
+			if (!this.#failed.has(socket)) {
+				this.#failed.add(socket);
+				newest.response.once('finish', () => {
+					socket.destroySoon();
+				});
+			}
+
+			return;
+		}
+
+		// The response to a request whose body is wrong; one that waits behind another response has no socket.
+		const canAnswerNewest = newest?.response.socket === socket && !newest.response.headersSent;
+		if (socket.writable && (isAnswered || canAnswerNewest)) {
+			const status = rejectionStatuses[code] ?? 400;
+			socket.write(`HTTP/1.1 ${status} ${http.STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`);
+		}
+
+		socket.destroy();
+	}
 }
