fix(relay): a relay is freed when an engine resets while the peer closes

An instance relays at most 500 connections for its peers and then turns them away. Places stayed occupied for good, with a descriptor each, where an engine reset its connection and the peer closed its own at the same moment.

Cause: the relay reset the connection to the peer. The runtime's resetAndDestroy sends the end first; if the socket fails before that is done, the reset is refused and 'close' is never emitted, which is what frees the place.

Change: the connection is closed without the marked end of the stream. Peers have taken that as broken since there are relays.

--- a/src/relay/relay-server.ts
+++ b/src/relay/relay-server.ts
@@ -174,7 +174,11 @@
 	}
 }
 
-/** Passes bytes on between a peer and an engine until either closes. A reset or any other failure of the engine's side reaches the peer as a reset. */
+/**
+ * Passes bytes on between a peer and an engine until either closes. After a reset or any other failure of the engine's side
+ * the connection to the peer is closed without the marked end. It is not reset: the runtime never closes a socket that fails
+ * in the middle of that.
+ */
 function couple(peer: net.Socket, engine: Duplex): void {
 	engine.on('data', (bytes: Uint8Array) => {
 		peer.write(encodeFrameHeader(bytes.length));
@@ -196,17 +200,17 @@
 	engine.once('end', () => {
 		// Node reports a reset that arrives together with data as a regular end. Only after a reset is the remote address unset.
 		if (engine instanceof net.Socket && engine.remoteAddress === undefined) {
-			peer.resetAndDestroy();
+			peer.destroy();
 		} else {
 			peer.end(endFrame);
 		}
 	});
 	engine.on('error', () => {
-		peer.resetAndDestroy();
+		peer.destroy();
 	});
 	engine.once('close', () => {
 		if (!engine.readableEnded) {
-			peer.resetAndDestroy();
+			peer.destroy();
 		}
 	});
 	peer.once('close', () => {
