fix(serving): a stream that goes on with nothing ends as complete only if its answer marks its end

Callers whose stream broke off got it ended as complete, without its remaining events (ORDER), where the next engine sent the head of its answer, without a length or chunks, and closed. An engine that ends between its head and its first event does that.

Cause: a stream without any event counted as broken only if the caller had received nothing, from whichever engine.

Evidence: cut-streams.test.ts cuts streams in each framing after each byte, as the first answer and as the one that goes on.

Change: the attempt itself must have sent an event, or its answer must mark its end. One with a length or chunks may still be empty: the engine had nothing left.

--- a/src/serving/engine-attempt.ts
+++ b/src/serving/engine-attempt.ts
@@ -83,6 +83,7 @@
 	#bufferedBytes = 0;
 	#isEventStream = false;
 	#lastEventId: number | undefined;
+	#hasForwardedEvent = false;
 	#lastEventAt = performance.now();
 	#isEnded = false;
 
@@ -227,6 +228,7 @@
 		}
 
 		const now = performance.now();
+		this.#hasForwardedEvent = true;
 		this.#lastEventId = id ?? this.#lastEventId;
 		listener.onEvent(id, now - this.#lastEventAt);
 		this.#lastEventAt = now;
@@ -241,7 +243,7 @@
 
 		const {status, rawHeaders} = this.#responseHead;
 		if (this.#isEventStream) {
-			this.#endStream(status);
+			this.#endStream(this.#responseHead);
 			return;
 		}
 
@@ -269,10 +271,10 @@
 		}
 	}
 
-	/** Ends an event stream, which is complete if its last event is. */
-	#endStream(status: number): void {
+	/** Ends an event stream, which is complete if its last event is. Without any event, the close of its connection does not tell that none is left. */
+	#endStream({status, isEndMarked}: ResponseHead): void {
 		const {callerResponse} = this.#options;
-		if (this.#splitter.pending.length > 0 || !callerResponse.hasStarted) {
+		if (this.#splitter.pending.length > 0 || !callerResponse.hasStarted || !(isEndMarked || this.#hasForwardedEvent)) {
 			this.#finish({kind: 'broken', reason: 'event stream ended without a complete last event', isConnectionLost: true});
 			return;
 		}
--- a/src/serving/http-exchange.ts
+++ b/src/serving/http-exchange.ts
@@ -31,6 +31,8 @@
 	status: number;
 	headers: NodeJS.Dict<string | string[]>;
 	rawHeaders: readonly string[];
+	/** Whether the end of the body is marked, by a length or a last chunk; otherwise the body ends with the connection. */
+	isEndMarked: boolean;
 };
 
 /** Receives the events of an exchange. Nothing is called after `onEnd`, `onUnreachable` or `onBroken`. */
@@ -140,7 +142,10 @@
 		}
 
 		this.#response = response;
-		this.#listener.onHead({status, headers, rawHeaders});
+		const isEndMarked = headers['content-length'] !== undefined || (headers['transfer-encoding'] ?? '').toLowerCase().endsWith('chunked');
+		this.#listener.onHead({
+			status, headers, rawHeaders, isEndMarked,
+		});
 		response.on('data', (bytes: Uint8Array) => {
 			if (!this.#isEnded) {
 				this.#listener.onData(bytes);
