fix(entry): a graceful shutdown waits until answers have left the process

Callers of `serve` that read slowly got a part of their answer when the instance was told to stop: 3.9 MB of 15.7 MB.

Cause: a request counted as ended when its answer had been handed to the socket; the shutdown then destroyed the connection.

Change: a request leaves the gate when its response has closed, that is when its bytes have left the process or its caller has gone. A caller who reads nothing of a finished answer for `[limits] caller_silence` is cut, so that it does not hold up a shutdown.

--- a/src/entry/callers.ts
+++ b/src/entry/callers.ts
@@ -99,10 +99,14 @@
 		const requestId = randomUUID();
 		try {
 			const leave = this.#options.gate.enter();
+			// A shutdown waits until the answer has left the process, as long as the caller reads it.
+			outgoing.once('close', leave);
 			try {
 				await run(this.#arrive(requestId, incoming, outgoing));
 			} finally {
-				leave();
+				outgoing.setTimeout(this.#options.limits.silence, () => {
+					outgoing.destroy();
+				});
 			}
 		} catch (error) {
 			this.#reject(requestId, outgoing, toCarobquayError(error, 'no'));
