fix(entry): what lasts longer than a graceful shutdown may is answered with an error

Callers of `serve` whose requests took longer than `[limits] shutdown` after SIGTERM were cut without an answer, whether their requests had run or not.

Cause: at the limit, the instance destroyed the connections of what was in flight.

Evidence: the new test of entry/shutdown fails on the code before; the caller gets no byte.

Change: at the limit, requests in flight are aborted as at their deadline, with 3006 if they have not run and with 4001 and "carobquay-ran: unknown" otherwise; 1 s is left for the answers. The process still ends with code 1.

Measured: the caller gets a complete answer of status 504 that does not deny that the request ran.

--- a/src/entry/__tests__/shutdown.test.ts
+++ b/src/entry/__tests__/shutdown.test.ts
@@ -132,3 +132,18 @@
 	t.is(text.length - text.indexOf('\r\n\r\n') - 4, answerSize);
 	t.true(await ended);
 });
+
+// Guards against requests that the end of a graceful shutdown cuts without an answer.
+test('a request that lasts longer than a shutdown may is answered with an error that does not deny that it ran', async t => {
+	const {instance, calls, callersPort} = await startInstance(t, {duration: 8000, size: 2, limits: '[limits]\nshutdown = 500 ms\n'});
+	const answer = readAll(callService(callersPort));
+	await until(() => calls.begun === 1);
+
+	const ended = await instance.shutdown();
+
+	const text = await answer;
+	t.regex(text, /^HTTP\/1\.1 504 /v);
+	t.regex(text, /\r\ncarobquay-ran: unknown\r\n/v);
+	t.true(text.endsWith('\r\n0\r\n\r\n'));
+	t.false(ended);
+});
--- a/src/entry/callers.ts
+++ b/src/entry/callers.ts
@@ -278,6 +278,12 @@
 	): Promise<void> {
 		const limit = new TimeLimit(life.timeRemaining, `request ${arrival.requestId} did not end within its deadline`);
 		const caller = new AbortController();
+		const shutdown = new AbortController();
+		const onExpiry = () => {
+			shutdown.abort(new CarobquayError(life.ran === 'no' ? '3006' : '4001', {message: 'this instance shut down before the request ended'}));
+		};
+
+		this.#options.gate.expired.addEventListener('abort', onExpiry, {once: true});
 		const onClose = () => {
 			if (!arrival.outgoing.writableFinished) {
 				caller.abort(new CarobquayError('4009', {message: 'the caller left before the answer ended'}));
@@ -287,12 +293,13 @@
 		arrival.outgoing.once('close', onClose);
 		let failure: CarobquayError | undefined;
 		try {
-			await run({deadline: limit.signal, callerLeft: caller.signal});
+			await run({deadline: AbortSignal.any([limit.signal, shutdown.signal]), callerLeft: caller.signal});
 		} catch (error) {
 			failure = toCarobquayError(error, life.ran);
 			await fail(failure);
 		} finally {
 			limit.clear();
+			this.#options.gate.expired.removeEventListener('abort', onExpiry);
 			arrival.outgoing.off('close', onClose);
 			this.#account(arrival, life, failure);
 		}
--- a/src/entry/instance.ts
+++ b/src/entry/instance.ts
@@ -27,6 +27,7 @@
 import {RequestRunner} from '../request/request-runner.js';
 import {RetryPolicy} from '../request/retry-policy.js';
 import {ServiceRunner} from '../request/service-runner.js';
+import {delay} from '../request/time-limit.js';
 import {Router} from '../routing/router.js';
 import type {ResolvedSettings} from '../settings/schema.js';
 import {DecisionLog} from '../telemetry/decision-log.js';
@@ -59,6 +60,9 @@
 /** Longest time in milliseconds that a graceful shutdown waits for the object store to take the rest of the ledger. */
 const ledgerCloseLimit = 30_000;
 
+/** Time in milliseconds in which the callers of requests that a shutdown gives up are told so. */
+const errorAnswerTime = 1000;
+
 /** An entry instance between callers and upstreams. It keeps nothing that must outlive it. */
 export class EntryInstance {
 	readonly #settings: ResolvedSettings;
@@ -175,7 +179,8 @@
 	}
 
 	/**
-	 * Stops without cutting a request: takes no new ones and waits for those in flight.
+	 * Stops without cutting a request: takes no new ones and waits for those in flight. Those that last beyond the shutdown limit
+	 * are answered with an error.
 	 *
 	 * @returns whether all of them ended within the shutdown limit.
 	 */
@@ -188,6 +193,11 @@
 		});
 		const ended = await Promise.race([this.#endAll().then(() => true), timeUp]);
 		clearTimeout(timer);
+		if (!ended) {
+			this.#gate.expire();
+			await Promise.race([this.#gate.close(), delay(errorAnswerTime)]);
+		}
+
 		await this.stop();
 		await this.#ledger.close(ledgerCloseLimit);
 		this.#log.info('instance.stopped', {ended});
--- a/src/entry/request-gate.ts
+++ b/src/entry/request-gate.ts
@@ -9,7 +9,9 @@
 export class RequestGate {
 	#inFlight = 0;
 	#closed = false;
+	#emptied: Promise<void> | undefined;
 	#onEmpty: (() => void) | undefined;
+	readonly #expiry = new AbortController();
 
 	/** Requests that have entered and not left. */
 	get inFlight(): number {
@@ -20,6 +22,11 @@
 		return this.#closed;
 	}
 
+	/** Aborts when requests in flight are given up. */
+	get expired(): AbortSignal {
+		return this.#expiry.signal;
+	}
+
 	/**
 	 * Lets a request in.
 	 *
@@ -45,10 +52,16 @@
 	/** Takes no more requests; resolves when those in flight have ended. */
 	async close(): Promise<void> {
 		this.#closed = true;
-		return new Promise(resolve => {
+		this.#emptied ??= new Promise(resolve => {
 			this.#onEmpty = resolve;
 			this.#reportEmpty();
 		});
+		return this.#emptied;
+	}
+
+	/** Gives up the requests in flight, so that they are answered with an error. */
+	expire(): void {
+		this.#expiry.abort();
 	}
 
 	#reportEmpty(): void {
