--- a/src/entry/__tests__/shutdown.test.ts
+++ b/src/entry/__tests__/shutdown.test.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
 import http from 'node:http';
 import net, {type AddressInfo} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -147,3 +148,24 @@
 	t.true(text.endsWith('\r\n0\r\n\r\n'));
 	t.false(ended);
 });
+
+// Guards against callers who ask a leaving instance again and again, because it leaves their connection open.
+test('a request on a kept connection that comes during a shutdown is refused, and its connection is closed', async t => {
+	const {instance, calls, callersPort} = await startInstance(t, {duration: 1500, size: 2});
+	const kept = net.connect(callersPort, '127.0.0.1');
+	kept.write(`GET /v1/models HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer ${key}\r\n\r\n`);
+	await once(kept, 'data');
+	const running = readAll(callService(callersPort));
+	await until(() => calls.begun === 1);
+
+	const ended = instance.shutdown();
+	const startedAt = performance.now();
+	kept.write(`GET /v1/models HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer ${key}\r\n\r\n`);
+	const text = await readAll(kept);
+
+	t.regex(text, /^HTTP\/1\.1 503 /v);
+	t.regex(text, /\r\nconnection: close\r\n/v);
+	t.true(performance.now() - startedAt < 1000);
+	t.regex(await running, /^HTTP\/1\.1 200 /v);
+	t.true(await ended);
+});
