fix(serving): a planned stop leaves its process time to end by itself, however short the grace period is

At a grace period of 2 s, 60 ms were left to answer what is abandoned, write the log and exit; one run of planned-stop-process ended with SIGKILL, its last lines lost. At least 220 ms are left now; at 8 s, as before, 240 ms.

--- a/src/serving/shutdown.ts
+++ b/src/serving/shutdown.ts
@@ -20,8 +20,9 @@
 /** Largest share of the grace period in which requests are accepted, so that they have twice as long to end. */
 const maximumAdmissionShare = 1 / 3;
 
-/** Share of the grace period after which requests in flight are abandoned. */
+/** Share of the grace period after which requests in flight are abandoned, and least time in milliseconds that is left then to answer them, to write the log and to exit. */
 const drainTimeoutShare = 0.97;
+const minimumExitTime = 220;
 
 /** Shutdown of one instance. Its state follows from the time alone, so that a late event loop accepts nothing for longer. */
 export class Shutdown {
@@ -34,7 +35,7 @@
 	constructor(gracePeriod: number) {
 		// Callers on open connections find another instance sooner than this one ends what they send.
 		this.#admissionPeriod = Math.min(readinessPropagationDelay, gracePeriod * maximumAdmissionShare);
-		this.#drainTimeout = gracePeriod * drainTimeoutShare;
+		this.#drainTimeout = Math.max(0, Math.min(gracePeriod * drainTimeoutShare, gracePeriod - minimumExitTime));
 	}
 
 	get state(): ServingState {
