fix(entry): a request leaves a shutdown's count with its connection

A client of `serve` that left with several requests on one connection held up a shutdown until `[limits] shutdown`, 15 minutes by default.

Cause: a response that waits behind another one does not hear of the end of its connection, so that its request never left the gate.

--- a/src/entry/__tests__/shutdown.test.ts
+++ b/src/entry/__tests__/shutdown.test.ts
@@ -92,10 +92,12 @@
 	};
 }
 
+const callText = `POST /v1/services/booking-api/x HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer ${key}\r\nContent-Length: 4\r\n\r\nbody`;
+
 function callService(port: number): net.Socket {
 	const socket = net.connect(port, '127.0.0.1');
 	socket.on('error', () => undefined);
-	socket.write(`POST /v1/services/booking-api/x HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer ${key}\r\nContent-Length: 4\r\n\r\nbody`);
+	socket.write(callText);
 	return socket;
 }
 
@@ -169,3 +171,18 @@
 	t.regex(await running, /^HTTP\/1\.1 200 /v);
 	t.true(await ended);
 });
+
+// Guards against a shutdown that waits for responses which wait behind another one on a connection that has closed.
+test('a shutdown does not wait for the requests of a client who has left with several on one connection', async t => {
+	const {instance, calls, lines, callersPort} = await startInstance(t, {duration: 300, size: 2, limits: '[limits]\nshutdown = 3 s\n'});
+	const socket = callService(callersPort);
+	await until(() => calls.begun === 1);
+	socket.write(callText);
+	await until(() => calls.begun === 2);
+	socket.destroy();
+	await until(() => lines.filter(line => line.includes('event=request.ended')).length === 2);
+	await sleep(500);
+
+	t.is(instance.status.inFlight, 0);
+	t.true(await instance.shutdown());
+});
--- a/src/entry/callers.ts
+++ b/src/entry/callers.ts
@@ -24,6 +24,7 @@
 import type {RequestMetrics} from '../telemetry/request-metrics.js';
 import type {KeyRing} from './authentication.js';
 import {receiveBody, type BodyLimits, type ReceivedBody} from './body.js';
+import {onceClosed} from './connection-end.js';
 import {StreamedChatAnswer, WholeChatAnswer, type ChatAnswer} from './chat-answer.js';
 import type {DeferredCallers} from './deferred-callers.js';
 import {errorBody, errorHeaders} from './error-response.js';
@@ -100,7 +101,7 @@
 		try {
 			const leave = this.#options.gate.enter();
 			// A shutdown waits until the answer has left the process, as long as the caller reads it.
-			outgoing.once('close', leave);
+			onceClosed(incoming, outgoing, leave);
 			try {
 				await run(this.#arrive(requestId, incoming, outgoing));
 			} finally {
