refactor(serving): both interfaces use one function for the end of a response

It has the guard of against being called for the connection and for the response. In serve nothing changes by it, as the gate counts the end of each request once.

--- a/src/serving/admission.ts
+++ b/src/serving/admission.ts
@@ -6,6 +6,7 @@
 import {Buffer} from 'node:buffer';
 import type http from 'node:http';
 import {performance} from 'node:perf_hooks';
+import {onceClosed} from '../entry/connection-end.js';
 import {errorCatalogue, type ErrorCode} from '../errors/catalogue.js';
 import {errorMessage} from '../errors/errors.js';
 import {CallerRequestFingerprints} from '../quarantine/request-fingerprint.js';
@@ -296,24 +297,3 @@
 		request.resume();
 	}
 }
-
-/** Calls a listener once, when a response has ended or its connection has closed, of which one that waits behind another response does not hear. */
-function onceClosed({socket}: http.IncomingMessage, response: http.ServerResponse, listener: () => void): void {
-	let isClosed = false;
-	const close = () => {
-		// The end of the connection is told while its listeners are being called, from which this one is not removed any more.
-		if (isClosed) {
-			return;
-		}
-
-		isClosed = true;
-		socket.off('close', close);
-		response.off('close', close);
-		listener();
-	};
-
-	// A client may send any number of requests before the first response.
-	socket.setMaxListeners(0);
-	socket.once('close', close);
-	response.once('close', close);
-}
