fix(serving): a stop handles what has arrived before it ends

What callers saw: requests that arrived while the process of a stopping instance stood still, on kept and on new connections, lost their connections, though the process ran on for a moment after it. Cause: the stop ends on a timer, and the event loop calls due timers before it reads; what lay in its sockets was never read. It was found beside load, where two of some hundred requests on new connections were closed 270 and 360 ms after they had been sent. Change: after each delay of the stop, connections and requests that have arrived are handled first.

--- a/src/request/time-limit.ts
+++ b/src/request/time-limit.ts
@@ -53,6 +53,19 @@
 	});
 }
 
+/** Turns of the event loop in which a connection is accepted, its request read, and handled. */
+const turnsForInput = 3;
+
+/** Resolves after a delay, when what had arrived by then was handled, also if the event loop stood still: it calls due timers before it reads. */
+export async function delayUntilInputIsHandled(milliseconds: number): Promise<void> {
+	await delay(milliseconds);
+	for (let turn = 0; turn < turnsForInput; turn++) {
+		await new Promise(resolve => { // eslint-disable-line no-await-in-loop
+			setImmediate(resolve);
+		});
+	}
+}
+
 /** Resolves after a delay; rejects with the abort reason as soon as the signal aborts. */
 export async function delayOrThrow(milliseconds: number, signal: AbortSignal): Promise<void> {
 	return new Promise((resolve, reject) => {
--- a/src/serving/serving-instance.ts
+++ b/src/serving/serving-instance.ts
@@ -6,7 +6,7 @@
 import http from 'node:http';
 import {performance} from 'node:perf_hooks';
 import {PeerMessenger} from '../peers/peer-messenger.js';
-import {delay} from '../request/time-limit.js';
+import {delay, delayUntilInputIsHandled} from '../request/time-limit.js';
 import {QuarantineGossip} from '../peers/quarantine-gossip.js';
 import {fetchTableSnapshot, type TableIndex, TableServer} from '../peers/table-transfer.js';
 import {EngineHealth} from '../placement/engine-health.js';
@@ -257,7 +257,7 @@
 		this.#peerMessenger.announce();
 		log.info('instance.leaving', {active: this.#admission.activeRequestCount});
 		while (!this.#shutdown.isOverdue && !(this.#shutdown.canEnd && this.#admission.activeRequestCount + this.#access.relayCount === 0)) {
-			await delay(drainCheckInterval); // eslint-disable-line no-await-in-loop
+			await delayUntilInputIsHandled(drainCheckInterval); // eslint-disable-line no-await-in-loop
 		}
 
 		const active = this.#admission.activeRequestCount;
