fix(serving): a head with another response's status line in it is no response

Where an engine breaks off in the head of a success and sends a whole failure on the same connection, callers got status 200 with the failure's body and signature (MIXED).

Cause: the second status line becomes part of the reason phrase or of a header's value of the first head, whose status counts; the second head's fields complete it. Behind the first request id, the joined ids do not match.

Change: a head in which a status line begins is not valid.

--- a/src/serving/header-fields.ts
+++ b/src/serving/header-fields.ts
@@ -34,11 +34,21 @@
 	return undefined;
 }
 
+/** Beginning of a response. */
+const statusLinePattern = /HTTP\/\d\.\d \d{3}/v;
+
 /** Describes what is invalid about the head of a final response; undefined if it can be sent. */
-export function describeInvalidResponseHead(status: number, rawHeaders: readonly string[]): string | undefined {
-	return status < minimumFinalStatus || status > maximumFinalStatus
-		? `status ${status} is not that of a final response`
-		: describeInvalidField(rawHeaders);
+export function describeInvalidResponseHead(status: number, statusText: string, rawHeaders: readonly string[]): string | undefined {
+	if (status < minimumFinalStatus || status > maximumFinalStatus) {
+		return `status ${status} is not that of a final response`;
+	}
+
+	// A response that breaks off within a line of its head is continued by the next one on the connection, whose status then is unknown.
+	if ([statusText, ...rawHeaders].some(text => statusLinePattern.test(text))) {
+		return 'another response begins within the head';
+	}
+
+	return describeInvalidField(rawHeaders);
 }
 
 /** Describes what is invalid about the head of a request; undefined if it can be sent. */
--- a/src/serving/http-exchange.ts
+++ b/src/serving/http-exchange.ts
@@ -134,8 +134,8 @@
 			return;
 		}
 
-		const {statusCode: status = 0, headers, rawHeaders} = response;
-		const defect = describeInvalidResponseHead(status, rawHeaders);
+		const {statusCode: status = 0, statusMessage = '', headers, rawHeaders} = response;
+		const defect = describeInvalidResponseHead(status, statusMessage, rawHeaders);
 		if (defect !== undefined) {
 			this.#fail(`response is not valid HTTP: ${defect}`);
 			return;
