--- a/src/commands/front.ts
+++ b/src/commands/front.ts
@@ -98,8 +98,9 @@
 /** Reads the settings again and tells what would change; addresses and names are those of the start. */
 async function reload(path: string, before: Promise<Record<string, unknown>>, log: EventLog): Promise<void> {
 	try {
-		const after = await loadPlatformSettings(path);
-		log.info('instance.reloaded', {changed: JSON.stringify(after) !== JSON.stringify(await before)});
+		const settingsBefore = await before;
+		const settings = await loadPlatformSettings(path);
+		log.info('instance.reloaded', {changed: JSON.stringify(settings) !== JSON.stringify(settingsBefore)});
 	} catch (error) {
 		log.error('instance.reload-failed', {reason: errorMessage(error)});
 	}
