fix(errors): callers of an instance that shuts down may come back at once

They waited 500 ms, which is longer than the latency target of short prompts, though any other instance serves them. The time is 50 ms now.

--- a/src/errors/catalogue.ts
+++ b/src/errors/catalogue.ts
@@ -91,7 +91,7 @@
 		status: 503, name: 'no-upstream', ran: 'no', retryAfter: 1000, remedy: 'Ask again after the time given; the operator should check the pool\'s selector.',
 	},
 	3006: {
-		status: 503, name: 'shutting-down', ran: 'no', retryAfter: 500, remedy: 'Ask again; another instance will answer.',
+		status: 503, name: 'shutting-down', ran: 'no', retryAfter: 50, remedy: 'Ask again; another instance will answer.',
 	},
 	3007: {
 		status: 503, name: 'quarantined', ran: 'no', retryAfter: 30_000,
