fix(serving): no warning is written where many bodies are received at once

The runtime warns on standard error, outside of the log's format, of the eleventh listener of one abort signal. Bodies that are being received are kept in a set of their own, from which a stop rejects them.

--- a/src/serving/admission.ts
+++ b/src/serving/admission.ts
@@ -69,8 +69,8 @@
 	readonly #connections = new CallerConnections();
 	/** Requests that were passed on and have not ended. */
 	readonly #forwardedRequests = new Set<ForwardedRequest>();
-	/** Aborts when requests are abandoned. */
-	readonly #abandoning = new AbortController();
+	/** Functions that reject the requests whose bodies have not been received. */
+	readonly #bodyRejections = new Set<() => void>();
 	#activeRequestCount = 0;
 
 	constructor(options: AdmissionOptions) {
@@ -86,7 +86,10 @@
 	/** Ends all requests, because this process is about to end. Resolves with the number of those that were passed on, when answers have been sent. */
 	async abandonRequests(): Promise<number> {
 		const isAnswering = this.#activeRequestCount > 0;
-		this.#abandoning.abort();
+		for (const rejectBody of this.#bodyRejections) {
+			rejectBody();
+		}
+
 		const abandoned = [...this.#forwardedRequests];
 		for (const request of abandoned) {
 			request.abandon();
@@ -196,15 +199,14 @@
 		return new Promise(resolve => {
 			const chunks: Uint8Array[] = [];
 			let size = 0;
-			const {signal} = this.#abandoning;
 			const settle = (outcome: Uint8Array | Rejection) => {
 				clearTimeout(timer);
-				signal.removeEventListener('abort', abandon);
+				this.#bodyRejections.delete(rejectBody);
 				request.off('data', receive);
 				resolve(outcome);
 			};
 
-			const abandon = () => {
+			const rejectBody = () => {
 				settle(shuttingDown);
 			};
 
@@ -219,7 +221,7 @@
 			const timer = setTimeout(() => {
 				settle({code: '1012', reason: 'the body was not received within the timeout of the request'});
 			}, Math.max(0, timeout));
-			signal.addEventListener('abort', abandon);
+			this.#bodyRejections.add(rejectBody);
 			request.on('data', receive);
 			request.once('end', () => {
 				settle(Buffer.concat(chunks));
