test(soak): planned work moves a route to another service, and a stop counts until its process has ended

A configuration may move the route of idempotent requests to the other service and back. A signal to a process that is not there no longer excuses the end of the next one.

--- a/soak/instances.ts
+++ b/soak/instances.ts
@@ -56,9 +56,9 @@
 		this.#program = programBefore ?? currentProgram;
 	}
 
-	/** Whether the process has not ended. */
+	/** Whether a process runs that was not told to end. */
 	get isRunning(): boolean {
-		return this.#process !== undefined;
+		return this.#process !== undefined && !this.#isToldToEnd;
 	}
 
 	/** Writes the settings and starts the process, now and after each end. @param store - Port of the store. */
@@ -75,7 +75,7 @@
 			this.stops.push(performance.now());
 		}
 
-		this.#isToldToEnd ||= signal === 'SIGTERM' || signal === 'SIGKILL';
+		this.#isToldToEnd ||= this.#process !== undefined && (signal === 'SIGTERM' || signal === 'SIGKILL');
 		this.#process?.kill(signal);
 	}
 
--- a/soak/operator.ts
+++ b/soak/operator.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {
-	configurationDocument, type ConfiguredTimes, defaultTimes, storeLocations,
+	configurationDocument, type ConfigurationDetails, defaultDetails, storeLocations,
 } from '../platform/stand-in/deployment.js';
 import type {StandInStore} from '../platform/stand-in/store.js';
 import type {ConfigurationChange} from './planned-work.js';
@@ -15,18 +15,18 @@
 /** Operator of one run. */
 export class Operator {
 	/** Timeouts of routes in milliseconds in all versions so far. */
-	readonly requestTimeouts = new Set([defaultTimes.requestTimeout]);
+	readonly requestTimeouts: Set<number>;
 	readonly #store: StandInStore;
 	#version = 1;
 	#hasAddedRoute = false;
-	#times: ConfiguredTimes = defaultTimes;
+	#details: ConfigurationDetails;
 	/** When the store acknowledged the configuration that adds a route. */
 	#routeAddedAt = Number.POSITIVE_INFINITY;
 
-	/** @param requestTimeout - Timeout of all routes in the first version; undefined for the stand-in's. */
-	constructor(store: StandInStore, requestTimeout: number = defaultTimes.requestTimeout) {
+	/** @param requestTimeout - Timeout of all routes in the first version. */
+	constructor(store: StandInStore, requestTimeout: number) {
 		this.#store = store;
-		this.#times = {...defaultTimes, requestTimeout};
+		this.#details = {...defaultDetails, requestTimeout};
 		this.requestTimeouts = new Set([requestTimeout]);
 	}
 
@@ -46,8 +46,8 @@
 		if ('hasExtraRoute' in change) {
 			this.#hasAddedRoute = change.hasExtraRoute;
 		} else {
-			this.#times = {...this.#times, ...change};
-			this.requestTimeouts.add(this.#times.requestTimeout);
+			this.#details = {...this.#details, ...change};
+			this.requestTimeouts.add(this.#details.requestTimeout);
 		}
 
 		this.write();
@@ -55,6 +55,6 @@
 
 	/** Writes the newest version, again if the store has lost it. */
 	write(): void {
-		this.#store.put(storeLocations.configuration.table, storeLocations.configuration.key, configurationDocument(this.#version, this.#hasAddedRoute, this.#times));
+		this.#store.put(storeLocations.configuration.table, storeLocations.configuration.key, configurationDocument(this.#version, this.#hasAddedRoute, this.#details));
 	}
 }
--- a/soak/planned-work.ts
+++ b/soak/planned-work.ts
@@ -6,13 +6,14 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import type {RandomGenerator} from 'pure-rand/types/RandomGenerator';
+import type {ConfigurationDetails} from '../platform/stand-in/deployment.js';
 import type {StandInEngine} from '../platform/stand-in/engine.js';
 import {
 	type Fault, quietEnd, quietStart, type SoakSize,
 } from './faults.js';
 
-/** What a new version of the configuration changes: a time in milliseconds, or a route that is added and later removed. */
-export type ConfigurationChange = {idleTimeout: number} | {requestTimeout: number} | {hasExtraRoute: boolean};
+/** What a new version of the configuration changes: a time in milliseconds, the service of a route, or a route that is added and later removed. */
+export type ConfigurationChange = Partial<ConfigurationDetails> | {hasExtraRoute: boolean};
 
 /** Idle timeouts in milliseconds. */
 const idleTimeouts = [1000, 2000, 5000, 15_000];
@@ -40,6 +41,7 @@
 		const changes: ConfigurationChange[] = [
 			{idleTimeout: idleTimeouts[number(0, idleTimeouts.length - 1)]!},
 			{requestTimeout: number(leastRequestTimeout, greatestRequestTimeout)},
+			{lookupService: number(0, 1) === 1 ? 'model' : 'plain'},
 			{hasExtraRoute: number(0, 1) === 1},
 		];
 		const isWhole = number(0, 1) === 1;
--- a/soak/traffic.ts
+++ b/soak/traffic.ts
@@ -27,5 +27,5 @@
 
 /** With planned work alone; streams take half of the grace period. */
 export const plannedTraffic: Traffic = {
-	kinds: kindsWithLarge(97), events: 44, pace: 100, deadline: 9000, requestTimeout: 10_000, rateShare: 0.4,
+	kinds: kindsWithLarge(97), events: 44, pace: 100, deadline: 9000, requestTimeout: 10_000, rateShare: 0.3,
 };
