fix(entry): a request whose body is arriving when a shutdown gives up is refused

Callers of `serve` who were still sending a body at `[limits] shutdown` were cut without an answer. Where the rest of the body came within the second that is left for answers, the request was passed on, also one that may not be repeated, and then cut.

Cause: a request begins to listen for the limit when its body has been read; a signal that has aborted before calls no listener.

Change: the limit ends the reception of bodies with 3006, and a request that begins to run later is given up at once.

--- a/src/entry/__tests__/shutdown.test.ts
+++ b/src/entry/__tests__/shutdown.test.ts
@@ -186,3 +186,24 @@
 	t.is(instance.status.inFlight, 0);
 	t.true(await instance.shutdown());
 });
+
+// Guards against requests that a shutdown has given up and that run all the same, or are cut without an answer.
+for (const {name, rest} of [{name: 'comes', rest: 'dy'}, {name: 'never comes', rest: ''}]) {
+	test(`a request the rest of whose body ${name} after the limit of a shutdown is refused and does not run`, async t => {
+		const {instance, calls, callersPort} = await startInstance(t, {duration: 8000, size: 2, limits: '[limits]\nshutdown = 500 ms\n'});
+		const socket = net.connect(callersPort, '127.0.0.1');
+		socket.on('error', () => undefined);
+		const answer = readAll(socket);
+		socket.write(callText.slice(0, -2));
+		await until(() => instance.status.inFlight === 1);
+
+		const ended = instance.shutdown();
+		await sleep(800);
+		socket.write(rest);
+
+		const text = await answer;
+		t.is(calls.begun, 0);
+		t.regex(text, /^HTTP\/1\.1 503 .*"code":3006/sv);
+		t.false(await ended);
+	});
+}
--- a/src/entry/body.ts
+++ b/src/entry/body.ts
@@ -50,16 +50,17 @@
  * Reads a whole body.
  *
  * @param onChunk - Takes each chunk as it arrives.
- * @throws {CarobquayError} 1003 where it is too large, 3002 where memory is short, 4009 where the caller leaves or falls silent.
+ * @param expired - Aborts when this instance is about to end.
+ * @throws {CarobquayError} 1003 where it is too large, 3002 where memory is short, 3006 where this instance ends before, 4009 where the caller leaves or falls silent.
  */
-export async function receiveBody(incoming: IncomingMessage, limits: BodyLimits, onChunk: (chunk: Uint8Array) => void): Promise<ReceivedBody> {
+export async function receiveBody(incoming: IncomingMessage, limits: BodyLimits, onChunk: (chunk: Uint8Array) => void, expired?: AbortSignal): Promise<ReceivedBody> {
 	const announced = Number(incoming.headers['content-length'] ?? 0);
 	if (announced > limits.size) {
 		throw tooLarge(announced, limits.size);
 	}
 
 	return new Promise((resolve, reject) => {
-		const reception = new Reception(incoming, limits, onChunk);
+		const reception = new Reception(incoming, limits, onChunk, expired);
 		reception.start(resolve, reject);
 	});
 }
@@ -69,14 +70,17 @@
 	readonly #incoming: IncomingMessage;
 	readonly #limits: BodyLimits;
 	readonly #onChunk: (chunk: Uint8Array) => void;
+	readonly #expired: AbortSignal | undefined;
 	readonly #chunks: Uint8Array[] = [];
+	#onExpiry: (() => void) | undefined;
 	#bytes = 0;
 	#timer: NodeJS.Timeout | undefined;
 
-	constructor(incoming: IncomingMessage, limits: BodyLimits, onChunk: (chunk: Uint8Array) => void) {
+	constructor(incoming: IncomingMessage, limits: BodyLimits, onChunk: (chunk: Uint8Array) => void, expired: AbortSignal | undefined) {
 		this.#incoming = incoming;
 		this.#limits = limits;
 		this.#onChunk = onChunk;
+		this.#expired = expired;
 	}
 
 	start(resolve: (body: ReceivedBody) => void, reject: (error: CarobquayError) => void): void {
@@ -86,6 +90,11 @@
 			reject(error);
 		};
 
+		this.#onExpiry = () => {
+			fail(new CarobquayError('3006', {message: 'this instance shut down before the body was received'}));
+		};
+
+		this.#expired?.addEventListener('abort', this.#onExpiry);
 		this.#timer = setTimeout(() => {
 			fail(new CarobquayError('4009', {message: `the caller sent nothing for ${this.#limits.silence} ms`, ran: 'no'}));
 		}, this.#limits.silence);
@@ -127,6 +136,7 @@
 
 	#detach(): void {
 		clearTimeout(this.#timer);
+		this.#expired?.removeEventListener('abort', this.#onExpiry!);
 		this.#incoming.removeAllListeners('data');
 	}
 
--- a/src/entry/callers.ts
+++ b/src/entry/callers.ts
@@ -157,7 +157,7 @@
 		const pool = context.req.param('pool') ?? '';
 		const requestClass = this.#classOf(arrival);
 		this.#checkService(arrival, pool);
-		const body = await receiveBody(arrival.incoming, this.#options.limits, () => undefined);
+		const body = await receiveBody(arrival.incoming, this.#options.limits, () => undefined, this.#options.gate.expired);
 		try {
 			const life = this.#begin(arrival, requestClass);
 			const fail = async (error: CarobquayError) => {
@@ -220,7 +220,7 @@
 		try {
 			body = await receiveBody(arrival.incoming, this.#options.limits, chunk => {
 				reading.push(chunk);
-			});
+			}, this.#options.gate.expired);
 			return {body, summary: await reading.finish()};
 		} catch (error) {
 			reading.abandon();
@@ -284,7 +284,12 @@
 			shutdown.abort(new CarobquayError(life.ran === 'no' ? '3006' : '4001', {message: 'this instance shut down before the request ended'}));
 		};
 
-		this.#options.gate.expired.addEventListener('abort', onExpiry, {once: true});
+		const {expired} = this.#options.gate;
+		if (expired.aborted) {
+			onExpiry();
+		}
+
+		expired.addEventListener('abort', onExpiry, {once: true});
 		const onClose = () => {
 			if (!arrival.outgoing.writableFinished) {
 				caller.abort(new CarobquayError('4009', {message: 'the caller left before the answer ended'}));
@@ -300,7 +305,7 @@
 			await fail(failure);
 		} finally {
 			limit.clear();
-			this.#options.gate.expired.removeEventListener('abort', onExpiry);
+			expired.removeEventListener('abort', onExpiry);
 			arrival.outgoing.off('close', onClose);
 			this.#account(arrival, life, failure);
 		}
