fix(serving): a malformed body behind a request does not cut the answer to it

Of two requests on one connection, the second with a body that is not HTTP, the first got status 400 or no answer although an engine was running it, also one that may not be repeated. "What a client sends behind a request does not cut its answer" left this case out: it waits for the newest request only if that one is complete.

Evidence: the new test of pipelined-requests fails on the commit before, without an answer to r1.

Change: where the response to the malformed request waits behind another one, it is sent when its turn comes.

--- a/src/serving/caller-listener.ts
+++ b/src/serving/caller-listener.ts
@@ -75,12 +75,10 @@
 	#handleClientError({code = ''}: NodeJS.ErrnoException, socket: Socket): void {
 		const newest = this.#newest.get(socket);
 		const isAnswered = newest?.response.writableFinished ?? true;
-		if (socket.writable && !isAnswered && newest?.request.complete === true && code !== endWithinHead) {
+		if (newest !== undefined && socket.writable && !isAnswered && code !== endWithinHead && (newest.request.complete || newest.response.socket === null)) {
 			if (!this.#failed.has(socket)) {
 				this.#failed.add(socket);
-				newest.response.once('finish', () => {
-					socket.destroySoon();
-				});
+				this.#closeAfterResponses(code, socket, newest);
 			}
 
 			return;
@@ -89,10 +87,31 @@
 		// The response to a request whose body is wrong; one that waits behind another response has no socket.
 		const canAnswerNewest = newest?.response.socket === socket && !newest.response.headersSent;
 		if (socket.writable && (isAnswered || canAnswerNewest)) {
-			const status = rejectionStatuses[code] ?? 400;
-			socket.write(`HTTP/1.1 ${status} ${http.STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`);
+			this.#reject(code, socket);
 		}
 
 		socket.destroy();
 	}
+
+	/** Closes a connection after the response to its newest request, or to the one before it if the body of the newest is wrong. */
+	#closeAfterResponses(code: string, socket: Socket, {request, response}: {request: http.IncomingMessage; response: http.ServerResponse}): void {
+		response.once('finish', () => {
+			socket.destroySoon();
+		});
+		if (request.complete) {
+			return;
+		}
+
+		response.once('socket', () => {
+			if (!response.headersSent) {
+				this.#reject(code, socket);
+				socket.destroySoon();
+			}
+		});
+	}
+
+	#reject(code: string, socket: Socket): void {
+		const status = rejectionStatuses[code] ?? 400;
+		socket.write(`HTTP/1.1 ${status} ${http.STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`);
+	}
 }
