--- a/src/entry/__tests__/shutdown.test.ts
+++ b/src/entry/__tests__/shutdown.test.ts
@@ -7,6 +7,7 @@
 import {once} from 'node:events';
 import http from 'node:http';
 import net, {type AddressInfo} from 'node:net';
+import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
 import {openMemoryPlatform} from '../../platform/platform.js';
@@ -207,3 +208,25 @@
 		t.false(await ended);
 	});
 }
+
+// Guards against warnings of a leak that each instance writes once more than ten requests are in flight.
+test('many requests in flight give no warning', async t => {
+	const warnings: string[] = [];
+	const record = ({message}: Error) => {
+		warnings.push(message);
+	};
+
+	process.on('warning', record);
+	t.teardown(() => {
+		process.off('warning', record);
+	});
+	const {calls, callersPort} = await startInstance(t, {duration: 500, size: 2});
+	const sockets = Array.from({length: 20}, () => callService(callersPort));
+	await until(() => calls.begun === sockets.length);
+	t.is(calls.begun, sockets.length);
+	await sleep(50);
+	t.deepEqual(warnings, []);
+	for (const socket of sockets) {
+		socket.destroy();
+	}
+});
--- a/src/entry/request-gate.ts
+++ b/src/entry/request-gate.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import {setMaxListeners} from 'node:events';
 import {CarobquayError} from '../errors/errors.js';
 
 /** Lets requests in until it is closed. */
@@ -13,6 +14,11 @@
 	#onEmpty: (() => void) | undefined;
 	readonly #expiry = new AbortController();
 
+	constructor() {
+		// Each request in flight listens.
+		setMaxListeners(0, this.#expiry.signal);
+	}
+
 	/** Requests that have entered and not left. */
 	get inFlight(): number {
 		return this.#inFlight;
