fix(serving): a stop accepts nothing any more once it abandons requests

Where the grace period is below 330 ms, requests were accepted for a third of it, though the stop abandons them 220 ms before its end, so that what came in between was passed on and cut.

Evidence: the two cases of serving/shutdown with grace periods of 100 and 300 ms fail on the commit before (state "leaving" while overdue). The case of 100 ms had that state written down; a stop that is overdue at once can serve nothing, so it is "closing" now.

Change: the time to abandon bounds the time to accept.

--- a/src/serving/shutdown.ts
+++ b/src/serving/shutdown.ts
@@ -33,9 +33,9 @@
 
 	/** @param gracePeriod - Time in milliseconds from SIGTERM to SIGKILL. */
 	constructor(gracePeriod: number) {
-		// Callers on open connections find another instance sooner than this one ends what they send.
-		this.#admissionPeriod = Math.min(readinessPropagationDelay, gracePeriod * maximumAdmissionShare);
 		this.#drainTimeout = Math.max(0, Math.min(gracePeriod * drainTimeoutShare, gracePeriod - minimumExitTime));
+		// Callers on open connections find another instance sooner than this one ends what they send.
+		this.#admissionPeriod = Math.min(readinessPropagationDelay, gracePeriod * maximumAdmissionShare, this.#drainTimeout);
 	}
 
 	get state(): ServingState {
