test(soak): the excuses of planned work hold in runs of planned work alone

A review of the changed checks found that the excuses (the end of a stop, the deadline, a route's timeout) held in all runs, whose streams are too short to need them, and that any end by SIGHUP before the first line of a process was not counted.

--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -39,6 +39,8 @@
 
 /** All that a run has to show. */
 export type Evidence = PlannedEvidence & {
+	/** Whether the run consists of planned work and silence of engines alone. */
+	isPlannedRun: boolean;
 	runs: readonly Run[];
 	/** Events of a whole stream. */
 	events: number;
@@ -102,13 +104,15 @@
 
 /** Planned work alone cuts no request that was sent before it or soon after. */
 function plannedProblems(evidence: Evidence): string[] {
-	const {calls, windows, requestTimeouts} = evidence;
+	const {calls, windows, requestTimeouts, isPlannedRun} = evidence;
+	// The streams of other runs are too short to need an excuse.
+	const isExcused = (call: Call) => isPlannedRun && (isExcusedByStop(call, evidence) || hasTimedOut(call, requestTimeouts));
 	return calls.filter(call => {
 		const around = windows.filter(window => window.until >= call.startedAt - calmMargin && window.from <= call.endedAt);
 		const planned = around.filter(({isPlanned, instance}) => isPlanned && instance === call.instance);
 		return planned.length > 0 && around.every(window => window.isPlanned) && call.failure !== undefined
 			// A connection that the process closed before it read the request is no cut.
-			&& call.status !== 0 && !isExcusedByStop(call, evidence) && !hasTimedOut(call, requestTimeouts);
+			&& call.status !== 0 && !isExcused(call);
 	}).map(call => `request ${call.id} (${call.kind}) was cut by planned work at ${call.instance}: ${String(call.failure)}`);
 }
 
--- a/soak/instances.ts
+++ b/soak/instances.ts
@@ -16,6 +16,9 @@
 /** Time in milliseconds for an instance to be ready. */
 const startTime = 15_000;
 
+/** Time in milliseconds in which the runtime of a process starts, beside load. Until then SIGHUP ends any process. */
+const runtimeStartTime = 500;
+
 /** Time in milliseconds after which an instance that ended is started again. */
 const restartDelay = 300;
 
@@ -45,7 +48,7 @@
 	#program: string;
 	#process: ChildProcess | undefined;
 	#isToldToEnd = false;
-	/** Whether the process has written a line, so that its runtime has started. Before that, SIGHUP ends any process. */
+	/** Whether the process has written a line, so that its runtime has started. */
 	#hasLogged = false;
 	#isStopped = false;
 
@@ -110,6 +113,7 @@
 		const child = spawn(process.execPath, ['--max-old-space-size=160', this.#program, 'front'], {
 			env: {PATH: process.env.PATH, [settingsPathVariable]: settings}, stdio: ['ignore', 'pipe', 'pipe'],
 		});
+		const startedAt = performance.now();
 		const log = createWriteStream(path.join(this.#folder, `${this.name}.log`), {flags: 'a'});
 		child.stdout.pipe(log);
 		child.stderr.pipe(log);
@@ -120,7 +124,7 @@
 		this.#process = child;
 		child.once('exit', (code, signal) => {
 			this.#process = undefined;
-			const hadNoListener = signal === 'SIGHUP' && !this.#hasLogged;
+			const hadNoListener = signal === 'SIGHUP' && !this.#hasLogged && performance.now() - startedAt < runtimeStartTime;
 			// After SIGTERM a process may be killed as well, but an exit of its own has to succeed.
 			if (!this.#isStopped && !hadNoListener && !(this.#isToldToEnd && (code === 0 || signal !== null)) && this.#program === currentProgram) {
 				this.unexpectedEnds.push(`code ${code}, signal ${signal}`);
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -106,10 +106,10 @@
 	}
 
 	async run(): Promise<SoakResult> {
-		const {seed, duration, keepLogs, programBefore} = this.#options;
+		const {seed, duration, keepLogs, programBefore, isPlanned: isPlannedRun} = this.#options;
 		const folder = await mkdtemp(path.join(os.tmpdir(), `carobquay-soak-${seed}-`));
 		const generator = xoroshiro128plus(seed);
-		const faults = (this.#options.isPlanned ? drawPlannedWork : drawFaults)(generator, duration, this.#options).filter(fault => programBefore === undefined || isBorneBefore(fault));
+		const faults = (isPlannedRun ? drawPlannedWork : drawFaults)(generator, duration, this.#options).filter(fault => programBefore === undefined || isBorneBefore(fault));
 		let problems = ['the run did not end'];
 		try {
 			await this.#start(folder);
@@ -121,7 +121,7 @@
 			await sleep(releaseTime);
 			problems = [
 				...brokenPromises({
-					calls, runs: this.#runs, windows: this.#windows, events: this.#traffic.events, heldReservations: this.#heldReservations(), routeAddedAt: this.#operator.routeAddedAt,
+					calls, isPlannedRun, runs: this.#runs, windows: this.#windows, events: this.#traffic.events, heldReservations: this.#heldReservations(), routeAddedAt: this.#operator.routeAddedAt,
 					workEnds: this.#work.ends, stops: new Map(this.#instances.map(({name, stops}) => [name, stops])), requestTimeouts: this.#operator.requestTimeouts,
 				}),
 				...poisonProblems(this.#poisonCallers.poisons, this.#windows),
