feat(telemetry): gauges of the bytes kept in memory for others

Cause: no metric tells how much an instance keeps for callers, engines and peers, so that an end by memory cannot be told from other ends.

Change: each instance creates its budget at its start and shows use and limit by source on the metrics address (carobquay_memory_kept_bytes and carobquay_memory_limit_bytes). Nothing reserves yet.

--- a/src/memory/memory-limits.ts
+++ b/src/memory/memory-limits.ts
@@ -34,7 +34,7 @@
 /** Limits of the memory that a process keeps for others. Without a limit of the platform, buffers may take as much as the heap. */
 export function deriveMemoryLimits({memoryLimit, heapLimit, residentAtStart, heapAtStart}: ProcessMemory): MemoryLimits {
 	const limit = memoryLimit ?? 2 * heapLimit;
-	const ceiling = Math.floor(Math.max(limit * minimumShare, limit * (1 - reservedShare) - residentAtStart));
+	const ceiling = Math.floor(Math.max(limit * minimumShare, (limit * (1 - reservedShare)) - residentAtStart));
 	return {
 		ceiling,
 		sources: {
--- a/src/serving/serving-instance.ts
+++ b/src/serving/serving-instance.ts
@@ -5,6 +5,8 @@
  */
 import type http from 'node:http';
 import {performance} from 'node:perf_hooks';
+import {createMemoryBudget} from '../memory/process-memory.js';
+import type {MemoryBudget} from '../memory/memory-budget.js';
 import {PeerMessenger} from '../peers/peer-messenger.js';
 import {delayUntilInputIsHandled} from '../request/time-limit.js';
 import {QuarantineGossip} from '../peers/quarantine-gossip.js';
@@ -57,6 +59,7 @@
 export class ServingInstance {
 	readonly #options: ServingInstanceOptions;
 	readonly #metrics = new ServingMetrics();
+	readonly #memory: MemoryBudget;
 	readonly #loadTracker = new LoadTracker();
 	readonly #domainLoads = new DomainLoads();
 	readonly #engineHealth = new EngineHealth();
@@ -86,6 +89,7 @@
 
 	constructor(options: ServingInstanceOptions) {
 		this.#options = options;
+		this.#memory = createMemoryBudget(options.memoryLimit);
 		const {log, tables, store, protocol, bounds, ip, failureDomain, regions} = options;
 		this.#shutdown = new Shutdown(bounds.gracePeriod, eventLoop);
 		const origin = `${options.instance}~${Date.now().toString(36)}`;
@@ -346,6 +350,7 @@
 	}
 
 	#registerGauges(placementCoordinator: PlacementCoordinator): void {
+		this.#metrics.registerMemory(this.#memory);
 		this.#metrics.registerGauges({
 			configurationVersion: () => this.#configuration.version,
 			engines: () => this.#engines.size,
--- a/src/serving/serving-metrics.ts
+++ b/src/serving/serving-metrics.ts
@@ -6,6 +6,7 @@
 import {
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
+import {type MemoryBudget, memorySources} from '../memory/memory-budget.js';
 
 /** Upper bounds in seconds of the histogram buckets; they cover the latency targets of the deployments, 0.12 to 4 s. */
 const durationBuckets = [0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 3, 4, 6, 10, 15];
@@ -132,6 +133,25 @@
 		}
 	}
 
+	/** Registers the gauges of what this instance keeps in memory for others. */
+	registerMemory(budget: MemoryBudget): void {
+		const kept: Gauge = new Gauge({
+			name: 'carobquay_memory_kept_bytes', help: 'Bytes kept in memory for others, by source.', labelNames: ['source'], registers: [this.registry], collect() {
+				for (const source of memorySources) {
+					kept.set({source}, budget.usedBy(source));
+				}
+			},
+		});
+		const limit: Gauge = new Gauge({
+			name: 'carobquay_memory_limit_bytes', help: 'Limit of the bytes kept in memory for others, by source; "all" for the sum.', labelNames: ['source'], registers: [this.registry], collect() {
+				limit.set({source: 'all'}, budget.ceiling);
+				for (const source of memorySources) {
+					limit.set({source}, budget.limitOf(source));
+				}
+			},
+		});
+	}
+
 	recordEnd({route, service, outcome, duration, timeToFirstEvent, promptTokens}: EndedRequest): void {
 		this.#requests.inc({route, service, outcome});
 		this.#requestDuration.observe({service, outcome}, duration / millisecondsPerSecond);
