--- /dev/null
+++ b/src/memory/process-memory.ts
@@ -0,0 +1,17 @@
+/**
+ * What this process takes and may take.
+ *
+ * @module
+ */
+import process from 'node:process';
+import v8 from 'node:v8';
+import {MemoryBudget} from './memory-budget.js';
+import {deriveMemoryLimits} from './memory-limits.js';
+
+/** Creates the budget of this process. @param memoryLimit - Bytes that the platform allows it; undefined where none are known. */
+export function createMemoryBudget(memoryLimit: number | undefined): MemoryBudget {
+	const {heap_size_limit: heapLimit, used_heap_size: heapAtStart} = v8.getHeapStatistics();
+	return new MemoryBudget(deriveMemoryLimits({
+		memoryLimit, heapLimit, heapAtStart, residentAtStart: process.memoryUsage.rss(),
+	}));
+}
