feat(startup): the first and the last line of a process, and a warning of high memory

Change, without a change of logic: `instance.starting` (runtime, process id, platform, heap limit, outcome of the code cache), `instance.settings` (memory limit), `instance.ended` as the last line, written synchronously on the runtime's 'exit' event with the reason, the exit code, heap, resident memory and the largest shares of the memory budget.

--- a/src/commands/front.ts
+++ b/src/commands/front.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import process from 'node:process';
+import v8 from 'node:v8';
 import {PlatformEngineReserver} from '../../platform/engine-reserver.js';
 import {PlatformProtocol} from '../../platform/protocol.js';
 import {loadPlatformSettings, settingsPathFromEnvironment} from '../../platform/settings.js';
@@ -11,7 +12,10 @@
 import {storeTables} from '../../platform/store-tables.js';
 import {errorMessage} from '../errors/errors.js';
 import {ServingInstance} from '../serving/serving-instance.js';
-import {fileDescriptorSink, LineWriter} from '../telemetry/line-writer.js';
+import {codeCacheOutcome} from '../startup/code-cache.js';
+import {EndReport} from '../startup/end-report.js';
+import {MemoryWarning} from '../startup/memory-warning.js';
+import {fileDescriptorSink, fileDescriptorWriter, LineWriter} from '../telemetry/line-writer.js';
 import {EventLog, type LogLevel} from '../telemetry/log.js';
 import {exitCodes} from './exit-codes.js';
 
@@ -38,19 +42,40 @@
  * @param onHangup - Sets the listener for SIGHUP.
  */
 export async function front({logLevel, metricsPort}: FrontOptions, onHangup: (listener: () => void) => void = listenForHangups): Promise<void> {
-	const writer = new LineWriter(fileDescriptorSink(1));
+	const writer = new LineWriter(fileDescriptorSink(1), fileDescriptorWriter(1));
 	const log = new EventLog({
 		level: logLevel,
 		write(line, level) {
 			writer.write(line, level === 'warn' || level === 'error');
 		},
 	});
+	const end = new EndReport(writer, {pid: process.pid});
+	end.install();
+	log.info('instance.starting', {
+		runtime: process.version, pid: process.pid, platform: `${process.platform}-${process.arch}`, heap_limit: v8.getHeapStatistics().heap_size_limit, code_cache: codeCacheOutcome() ?? 'none',
+	});
+	try {
+		await start({
+			writer, log, end, metricsPort, onHangup,
+		});
+	} catch (error) {
+		log.error('instance.start-failed', {reason: errorMessage(error)});
+		end.record('failed-start', {error: errorMessage(error)});
+		await writer.flush(lastLines);
+		throw error;
+	}
+}
+
+async function start({writer, log, end, metricsPort, onHangup}: {
+	writer: LineWriter; log: EventLog; end: EndReport; metricsPort: string | undefined; onHangup: (listener: () => void) => void;
+}): Promise<void> {
 	const path = settingsPathFromEnvironment();
 	const settingsAtStart = loadPlatformSettings(path);
 	onHangup(() => {
 		void reload(path, settingsAtStart, log);
 	});
 	const settings = await settingsAtStart;
+	log.info('instance.settings', {instance: settings.instance, ip: settings.ip, memory_limit: settings.memoryLimit});
 	const instance = new ServingInstance({
 		...settings,
 		metrics: metricsPort === undefined ? undefined : {host: settings.ip, port: Number(metricsPort)},
@@ -63,6 +88,9 @@
 		log: log.with({instance: settings.instance}),
 		droppedLineCount: () => writer.droppedLineCount,
 	});
+	const {memory} = instance;
+	end.watchMemory(memory);
+	const warning = new MemoryWarning({log: log.with({instance: settings.instance}), memory, memoryLimit: settings.memoryLimit});
 	let isStopping = false;
 	const stop = async (signal: NodeJS.Signals) => {
 		if (isStopping) {
@@ -70,6 +98,7 @@
 		}
 
 		isStopping = true;
+		end.record('signal', {signal});
 		log.info('instance.signal', {instance: settings.instance, signal});
 		await instance.stop();
 		await writer.flush(lastLines);
@@ -85,8 +114,7 @@
 	try {
 		await instance.start();
 	} catch (error) {
-		log.error('instance.start-failed', {instance: settings.instance, reason: errorMessage(error)});
-		await writer.flush(lastLines);
+		warning.close();
 		throw error;
 	}
 }
--- a/src/serving/serving-instance.ts
+++ b/src/serving/serving-instance.ts
@@ -224,6 +224,11 @@
 		this.#registerGauges(placementCoordinator);
 	}
 
+	/** Memory that this instance keeps for others. */
+	get memory(): MemoryBudget {
+		return this.#memory;
+	}
+
 	/** Whether this instance accepts new connections. */
 	get isReady(): boolean {
 		return this.#shutdown.state === 'serving' && this.#configuration.routes !== undefined && this.#engines.size > 0;
--- a/src/serving/serving-metrics.ts
+++ b/src/serving/serving-metrics.ts
@@ -3,6 +3,8 @@
  *
  * @module
  */
+import process from 'node:process';
+import v8 from 'node:v8';
 import {
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
@@ -122,6 +124,9 @@
 			['carobquay_quarantined', 'Fingerprints of requests that are kept from engines, as engines crashed on them.', readers.quarantinedFingerprints],
 			['carobquay_store_era', 'Era of the store, which rises when it comes back from an older copy.', readers.storeEra],
 			['carobquay_store_age_seconds', 'Time since the store last answered.', readers.storeAge],
+			['process_resident_memory_bytes', 'Resident memory of the process.', () => process.memoryUsage.rss()],
+			['carobquay_heap_used_bytes', 'Heap of the runtime in use.', () => v8.getHeapStatistics().used_heap_size],
+			['carobquay_heap_limit_bytes', 'Limit of the heap, at which the runtime aborts the process.', () => v8.getHeapStatistics().heap_size_limit],
 			['carobquay_log_lines_dropped', 'Log lines left out since the last count was written.', readers.droppedLineCount],
 		];
 		for (const [name, help, read] of definitions) {
--- a/src/startup/code-cache.ts
+++ b/src/startup/code-cache.ts
@@ -21,6 +21,15 @@
 /** A CommonJS module in its wrapper; the parameters are those that the runtime passes. */
 type ModuleFunction = (...parameters: [exports: unknown, require: NodeJS.Require, module: {exports: unknown}, fileName: string, folder: string]) => void;
 
+/** Global under which a program finds the outcome; the launcher is a bundle of its own. */
+const outcomeKey = Symbol.for('carobquay.code-cache');
+
+/** How this program was loaded; undefined if it was started without the launcher. */
+export function codeCacheOutcome(): CodeCacheOutcome | undefined {
+	const outcome: unknown = Reflect.get(globalThis, outcomeKey);
+	return outcome === 'used' || outcome === 'missing' || outcome === 'rejected' ? outcome : undefined;
+}
+
 /** Path of the code cache of a program. */
 export function codeCachePath(programPath: string): string {
 	return `${programPath}.cache`;
@@ -40,9 +49,11 @@
 	const cachedData = readCodeCache(programPath);
 	const script = compile(programPath, cachedData);
 	const fitting = script.cachedDataRejected ? 'rejected' : 'used';
+	const codeCache = cachedData === undefined ? 'missing' : fitting;
 	return {
-		codeCache: cachedData === undefined ? 'missing' : fitting,
+		codeCache,
 		run() {
+			Reflect.set(globalThis, outcomeKey, codeCache);
 			const main: ModuleFunction = script.runInThisContext(); // eslint-disable-line @typescript-eslint/no-unsafe-assignment
 			const module = {exports: {}};
 			main(module.exports, createRequire(programPath), module, programPath, path.dirname(programPath));
--- a/src/telemetry/line-writer.ts
+++ b/src/telemetry/line-writer.ts
@@ -33,9 +33,23 @@
 	};
 }
 
+/** Returns a function that writes to a file descriptor at once. A pipe has to be non-blocking; what it does not take is lost. */
+export function fileDescriptorWriter(descriptor: number): (bytes: Uint8Array) => void {
+	return bytes => {
+		try {
+			for (let written = 0; written < bytes.length;) {
+				written += fs.writeSync(descriptor, bytes, written);
+			}
+		} catch {
+			// The reader is gone or does not keep up, and there is nowhere else to tell.
+		}
+	};
+}
+
 /** Buffers lines and writes them asynchronously in batches. */
 export class LineWriter {
 	readonly #sink: ByteSink;
+	readonly #writeAtOnce: (bytes: Uint8Array) => void;
 	#lines: string[] = [];
 	#pendingBytes = 0;
 	#unwrittenBatch: Uint8Array | undefined;
@@ -46,8 +60,10 @@
 	#currentSecond = 0;
 	#linesInCurrentSecond = 0;
 
-	constructor(sink: ByteSink) {
+	/** @param writeAtOnce - Writes bytes without waiting, as far as they are taken. */
+	constructor(sink: ByteSink, writeAtOnce: (bytes: Uint8Array) => void = () => undefined) {
 		this.#sink = sink;
+		this.#writeAtOnce = writeAtOnce;
 	}
 
 	/** Number of lines dropped since the last `log.dropped` line was written. */
@@ -78,6 +94,18 @@
 		}
 	}
 
+	/**
+	 * Writes what is pending and one last line at once, when the process ends. What a full pipe does not take is lost; a batch
+	 * whose write is in progress is left to that.
+	 */
+	writeLast(line: string): void {
+		const unwritten = this.#isWriting || this.#unwrittenBatch === undefined ? new Uint8Array(0) : this.#unwrittenBatch;
+		const bytes = Buffer.concat([unwritten, Buffer.from(`${[...this.#lines, line].join('\n')}\n`)]);
+		this.#unwrittenBatch = undefined;
+		this.#lines = [];
+		this.#writeAtOnce(bytes);
+	}
+
 	#canAccept(line: string, isFailure: boolean): boolean {
 		const second = Math.floor(performance.now() / 1000);
 		if (second !== this.#currentSecond) {
