fix(telemetry): a process whose standard output is full ends on SIGTERM

Found while looking for what hangs a start or an end, not reported by operators.

Cause: lines are written by the runtime's thread pool; a write to a full pipe blocks its thread, and the runtime joins its threads when the process exits. A process whose code cache was rejected ended, as its launcher had opened the runtime's stream, which makes the pipe non-blocking.

--- a/src/commands/front.ts
+++ b/src/commands/front.ts
@@ -15,7 +15,9 @@
 import {codeCacheOutcome} from '../startup/code-cache.js';
 import {EndReport} from '../startup/end-report.js';
 import {MemoryWarning} from '../startup/memory-warning.js';
-import {fileDescriptorSink, fileDescriptorWriter, LineWriter} from '../telemetry/line-writer.js';
+import {
+	fileDescriptorSink, fileDescriptorWriter, LineWriter, stopBlockingOnStandardOutput,
+} from '../telemetry/line-writer.js';
 import {EventLog, type LogLevel} from '../telemetry/log.js';
 import {exitCodes} from './exit-codes.js';
 
@@ -42,6 +44,7 @@
  * @param onHangup - Sets the listener for SIGHUP.
  */
 export async function front({logLevel, metricsPort}: FrontOptions, onHangup: (listener: () => void) => void = listenForHangups): Promise<void> {
+	stopBlockingOnStandardOutput();
 	const writer = new LineWriter(fileDescriptorSink(1), fileDescriptorWriter(1));
 	const log = new EventLog({
 		level: logLevel,
--- a/src/telemetry/line-writer.ts
+++ b/src/telemetry/line-writer.ts
@@ -8,6 +8,7 @@
  */
 import {Buffer} from 'node:buffer';
 import fs from 'node:fs';
+import process from 'node:process';
 
 /** Time in milliseconds for which lines are buffered before a write. */
 const flushDelay = 100;
@@ -33,6 +34,12 @@
 	};
 }
 
+/** Makes a pipe or socket that is standard output non-blocking: a process cannot exit while one of its writes blocks. */
+export function stopBlockingOnStandardOutput(): void {
+	// The runtime makes them non-blocking when it opens its own stream, which this does. A reader that is gone ends nothing.
+	process.stdout.on('error', () => undefined);
+}
+
 /** Returns a function that writes to a file descriptor at once. A pipe has to be non-blocking; what it does not take is lost. */
 export function fileDescriptorWriter(descriptor: number): (bytes: Uint8Array) => void {
 	return bytes => {
