fix(serving): answers in small pieces cost the memory and time that they hold

What callers saw: a faulty engine sent a body without end in chunks of one byte; the instance ran out of memory ("Reached heap limit", SIGABRT) and the requests of all other callers on it ended. The limits of 16 MB for one answer and 32 MB for all counted the bytes; each chunk was kept as a Buffer of its own, of some hundred bytes, on a buffer of 64 KB that it was read into. An event without end in such chunks was copied as a whole for each chunk, and each event was written to the caller by itself, so that an instance did hardly anything else.

Change: the body of an answer and an incomplete event are copied into blocks (ByteCollector). The splitter looks at each byte once. Events that were received together are written together. What is held of answers is reserved in the memory budget as "buffered-answers", by customer; at the bound the attempt ends as broken, as before. ResponseBuffers goes: its fixed limit knew of no other source. An outcome with a failed answer is not kept while other attempts of the request go on.

--- a/src/serving/__tests__/event-splitter.test.ts
+++ b/src/serving/__tests__/event-splitter.test.ts
@@ -29,7 +29,18 @@
 
 		t.deepEqual(received.map(event => decode(event)), events);
 		t.deepEqual(received.map(({id}) => id), ids);
-		t.is(decode({bytes: splitter.pending}), pending);
+		t.is(splitter.pendingLength, pending.length);
+		t.deepEqual(splitter.push(encode('\n\n')).map(event => decode(event)), [`${pending}\n\n`]);
+	});
+}
+
+for (const {name, chunks, events, ids} of cases) {
+	test(`splits ${name}, a byte at a time`, t => {
+		const splitter = new EventSplitter();
+		const received = [...encode(chunks.join(''))].flatMap(byte => splitter.push(Uint8Array.of(byte)));
+
+		t.deepEqual(received.map(event => decode(event)), events);
+		t.deepEqual(received.map(({id}) => id), ids);
 	});
 }
 
--- a/src/serving/__tests__/forwarded-request.test.ts
+++ b/src/serving/__tests__/forwarded-request.test.ts
@@ -13,7 +13,7 @@
 import type {ChosenEngine, EngineChooser} from '../engine-chooser.js';
 import {ForwardedRequest} from '../forwarded-request.js';
 import type {Route} from '../model.js';
-import {ResponseBuffers} from '../response-buffers.js';
+import {MemoryBudget} from '../../memory/memory-budget.js';
 import {RetryBudget} from '../retry-budget.js';
 import {ServingMetrics} from '../serving-metrics.js';
 
@@ -53,7 +53,7 @@
 		retryBudget: new RetryBudget({
 			ratio: 0.2, window: 10_000, allowance: 100, fleet: () => ({size: 1, isKnown: true}),
 		}),
-		buffers: new ResponseBuffers(),
+		memory: new MemoryBudget({ceiling: 32 * 1_048_576}),
 		fingerprints: {promptParts: [], wholeRequest: 'request:r', hasBody: true},
 		guard: new RequestGuard(createQuarantine({crashCheck: {hasCrashed: async () => false}}), {promptParts: [], wholeRequest: 'request:r', hasBody: true}),
 		metrics: new ServingMetrics(),
--- a/src/serving/admission.ts
+++ b/src/serving/admission.ts
@@ -9,6 +9,7 @@
 import {onceClosed} from '../entry/connection-end.js';
 import {errorCatalogue, type ErrorCode} from '../errors/catalogue.js';
 import {errorMessage} from '../errors/errors.js';
+import type {MemoryBudget} from '../memory/memory-budget.js';
 import {CallerRequestFingerprints} from '../quarantine/request-fingerprint.js';
 import {RequestGuard} from '../quarantine/request-guard.js';
 import type {RequestQuarantine} from '../quarantine/request-quarantine.js';
@@ -23,7 +24,6 @@
 import type {
 	CustomerKeys, RequestHeaderValues, RequestProtocol, Route, Service,
 } from './model.js';
-import {ResponseBuffers} from './response-buffers.js';
 import type {RetryBudget} from './retry-budget.js';
 import type {RouteTable} from './route-table.js';
 import type {CutReason, ServingMetrics} from './serving-metrics.js';
@@ -41,6 +41,8 @@
 	answerDurations: AnswerDurations;
 	retryBudget: RetryBudget;
 	quarantine: RequestQuarantine;
+	/** Bounds what this instance keeps for others. */
+	memory: MemoryBudget;
 	metrics: ServingMetrics;
 	log: EventLog;
 	/** @default Math.random */
@@ -73,7 +75,6 @@
 export class Admission {
 	readonly #options: AdmissionOptions;
 	readonly #random: () => number;
-	readonly #buffers = new ResponseBuffers();
 	readonly #connections = new CallerConnections();
 	/** Requests that were passed on and have not ended, with the state of this instance at their acceptance. */
 	readonly #forwardedRequests = new Map<ForwardedRequest, ServingState>();
@@ -272,7 +273,7 @@
 		{routes, route, service, customer}: AdmittedRequest,
 		body: Uint8Array | undefined,
 	): Promise<void> {
-		const {timeUntilAbandoned, protocol, chooser, answerDurations, retryBudget, quarantine, metrics, log} = this.#options;
+		const {timeUntilAbandoned, protocol, chooser, answerDurations, retryBudget, quarantine, memory, metrics, log} = this.#options;
 		const path = request.url ?? '/';
 		const fingerprints = new CallerRequestFingerprints({
 			path, customer: customer?.name, body, headerValues,
@@ -299,7 +300,7 @@
 			chooser,
 			answerDurations,
 			retryBudget,
-			buffers: this.#buffers,
+			memory,
 			fingerprints,
 			guard: new RequestGuard(quarantine, fingerprints),
 			metrics,
--- a/src/serving/engine-attempt.ts
+++ b/src/serving/engine-attempt.ts
@@ -5,6 +5,8 @@
  */
 import {Buffer} from 'node:buffer';
 import {performance} from 'node:perf_hooks';
+import {ByteCollector} from '../memory/byte-collector.js';
+import type {MemoryBudget, MemoryOwner, MemoryReservation} from '../memory/memory-budget.js';
 import {InputFirstTimer} from '../upstream/input-first-timer.js';
 import type {FailureEvidence} from '../upstream/engine-connector.js';
 import type {CallerResponse} from './caller-response.js';
@@ -13,11 +15,13 @@
 	type ResponseHead, HttpExchange, type HttpExchangeOptions,
 } from './http-exchange.js';
 import type {ResponseHeaderValues, RequestProtocol} from './model.js';
-import type {BufferedResponse, ResponseBuffers} from './response-buffers.js';
 
 /** Maximum size of a response that is buffered until it is complete. */
 const maximumBufferedBytes = 16 * 1_048_576;
 
+/** What the attempts hold counts as this part of the memory that the instance keeps for others. */
+const memorySource = 'buffered-answers';
+
 /** HTTP statuses by which a caller is told that its request has not run. */
 const notRunStatuses: ReadonlySet<number> = new Set([408, 429, 503]);
 
@@ -67,20 +71,24 @@
 	/** Time in milliseconds without a further event after which the engine counts as idle; read after each event. */
 	eventGapTimeout: () => number;
 	/** Bounds what this attempt and others hold of their responses. */
-	buffers: ResponseBuffers;
+	memory: MemoryBudget;
+	/** Owner of what this attempt holds. */
+	owner: MemoryOwner;
 	listener: EngineAttemptListener;
 };
 
 /** One attempt at one engine. The constructor sends the request. */
-export class EngineAttempt implements BufferedResponse {
+export class EngineAttempt {
 	readonly #options: EngineAttemptOptions;
 	readonly #exchange: HttpExchange;
 	readonly #splitter = new EventSplitter();
 	readonly #idleTimer = new InputFirstTimer();
 	#responseHead: ResponseHead | undefined;
 	#headerValues: ResponseHeaderValues | undefined;
-	readonly #bufferedChunks: Uint8Array[] = [];
-	#bufferedBytes = 0;
+	readonly #body = new ByteCollector();
+	/** Events that were received together and are forwarded together, as the engine may send many of a few bytes each. */
+	#outgoing: Uint8Array[] = [];
+	#reservation: MemoryReservation | undefined;
 	#isEventStream = false;
 	#lastEventId: number | undefined;
 	#hasForwardedEvent = false;
@@ -132,9 +140,29 @@
 		this.#finish({kind: 'broken', reason: 'aborted by this instance', isConnectionLost: false});
 	}
 
-	/** Ends the attempt, because the responses that this instance holds take too much memory. */
-	giveUp(totalBytes: number): void {
-		this.#finish({kind: 'broken', reason: `largest of the responses that take ${totalBytes} bytes together`, isConnectionLost: false});
+	/** Reserves memory for what is held of the response; the attempt ends where there is none. */
+	#reserve(bytes: number): void {
+		const {memory, owner} = this.#options;
+		if (this.#isEnded || bytes === (this.#reservation?.bytes ?? 0)) {
+			return;
+		}
+
+		const fail = () => {
+			this.#finish({kind: 'broken', reason: `no memory for ${bytes} bytes of the response beside ${memory.usedBy(memorySource)} bytes of others`, isConnectionLost: false});
+		};
+
+		if (this.#reservation === undefined) {
+			this.#reservation = memory.reserve({
+				source: memorySource, owner, bytes, giveUp: () => {
+					this.#finish({kind: 'broken', reason: `its ${this.#body.length + this.#splitter.pendingLength} bytes were the largest part of the responses held`, isConnectionLost: false});
+				},
+			});
+			if (this.#reservation === undefined) {
+				fail();
+			}
+		} else if (!this.#reservation.resize(bytes)) {
+			fail();
+		}
 	}
 
 	/** Calls `onIdle` after each timeout until it is restarted or the attempt ends. */
@@ -180,10 +208,9 @@
 
 	#onData(bytes: Uint8Array): void {
 		if (!this.#isEventStream) {
-			this.#bufferedChunks.push(bytes);
-			this.#bufferedBytes += bytes.length;
-			this.#options.buffers.update(this, this.#bufferedBytes);
-			if (this.#bufferedBytes > maximumBufferedBytes) {
+			this.#body.append(bytes);
+			this.#reserve(this.#body.length);
+			if (this.#body.length > maximumBufferedBytes) {
 				this.#finish({kind: 'broken', reason: `response exceeds ${maximumBufferedBytes} bytes`, isConnectionLost: false});
 			}
 
@@ -192,19 +219,19 @@
 
 		try {
 			for (const event of this.#splitter.push(bytes)) {
-				if (!this.#forwardEvent(event)) {
+				if (!this.#acceptEvent(event)) {
 					return;
 				}
 			}
 
-			this.#options.buffers.update(this, this.#splitter.pending.length);
+			this.#reserve(this.#splitter.pendingLength);
 		} catch (error) {
 			this.#finish({kind: 'broken', reason: String(error), isConnectionLost: false});
 		}
 	}
 
-	/** Forwards an event to the caller. @returns false if the attempt has ended. */
-	#forwardEvent({bytes, id, isComment}: StreamEvent): boolean {
+	/** Begins to forward an event to the caller. @returns false if the attempt has ended. */
+	#acceptEvent({bytes, id, isComment}: StreamEvent): boolean {
 		if (this.#isEnded) {
 			return false;
 		}
@@ -220,9 +247,11 @@
 			callerResponse.writeHead(this.#responseHead!.status, protocol.buildResponseHeaders(this.#responseHead!.rawHeaders));
 		}
 
-		if (!callerResponse.write(bytes)) {
-			this.#finish({kind: 'broken', reason: 'the caller does not read the response', isConnectionLost: false});
-			return false;
+		if (this.#outgoing.push(bytes) === 1) {
+			// Runs when all that was received together has been handled.
+			queueMicrotask(() => {
+				this.#forwardEvents();
+			});
 		}
 
 		if (isComment) {
@@ -238,6 +267,17 @@
 		return true;
 	}
 
+	/** Sends the events that have been accepted. @returns false if the attempt has ended. */
+	#forwardEvents(): boolean {
+		const events = this.#outgoing;
+		this.#outgoing = [];
+		if (events.length > 0 && !this.#options.callerResponse.write(events.length === 1 ? events[0]! : Buffer.concat(events))) {
+			this.#finish({kind: 'broken', reason: 'the caller does not read the response', isConnectionLost: false});
+		}
+
+		return !this.#isEnded;
+	}
+
 	#onResponseEnd(): void {
 		if (this.#isEnded || !this.#responseHead || !this.#headerValues) {
 			return;
@@ -250,7 +290,7 @@
 		}
 
 		const {callerResponse, protocol} = this.#options;
-		const body = Buffer.concat(this.#bufferedChunks);
+		const body = this.#body.take();
 		const forwardResponse = () => {
 			callerResponse.send(status, protocol.buildResponseHeaders(rawHeaders), body);
 			return status;
@@ -276,7 +316,11 @@
 	/** Ends an event stream, which is complete if its last event is. Without any event, the close of its connection does not tell that none is left. */
 	#endStream({status, isEndMarked}: ResponseHead): void {
 		const {callerResponse} = this.#options;
-		if (this.#splitter.pending.length > 0 || !callerResponse.hasStarted || !(isEndMarked || this.#hasForwardedEvent)) {
+		if (!this.#forwardEvents()) {
+			return;
+		}
+
+		if (this.#splitter.pendingLength > 0 || !callerResponse.hasStarted || !(isEndMarked || this.#hasForwardedEvent)) {
 			this.#finish({kind: 'broken', reason: 'event stream ended without a complete last event', isConnectionLost: true});
 			return;
 		}
@@ -296,9 +340,11 @@
 		}
 
 		this.#isEnded = true;
-		this.#options.buffers.release(this);
 		this.#idleTimer.stop();
 		this.#exchange.abort();
+		this.#forwardEvents();
+		this.#body.clear();
+		this.#reservation?.release();
 		this.#options.listener.onEnd(outcome);
 	}
 }
--- a/src/serving/event-splitter.ts
+++ b/src/serving/event-splitter.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import {Buffer} from 'node:buffer';
+import {ByteCollector} from '../memory/byte-collector.js';
 
 const lineFeed = 10;
 const carriageReturn = 13;
@@ -21,57 +22,86 @@
 	isComment: boolean;
 };
 
-/** Buffers received bytes and returns complete events. */
+/** What the bytes since the last line feed are: none, one carriage return, or others. */
+type LineStart = 'empty' | 'carriage-return' | 'other';
+
+/** Buffers received bytes and returns complete events. Each byte is looked at once, however small the pieces are. */
 export class EventSplitter {
-	#pending: Uint8Array = new Uint8Array(0);
+	readonly #pending = new ByteCollector();
+	#lineStart: LineStart = 'other';
 
-	/** Bytes of the incomplete event at the end of the stream. */
-	get pending(): Uint8Array {
-		return this.#pending;
+	/** Number of bytes of the incomplete event at the end of the stream. */
+	get pendingLength(): number {
+		return this.#pending.length;
 	}
 
 	/** Appends bytes. @returns the events that they complete. @throws {RangeError} An event exceeds the maximum size. */
 	push(bytes: Uint8Array): StreamEvent[] {
-		const buffered: Uint8Array = this.#pending.length === 0 ? bytes : Buffer.concat([this.#pending, bytes]);
 		const events: StreamEvent[] = [];
 		let start = 0;
-		for (let end = findEventEnd(buffered, start); end > 0; end = findEventEnd(buffered, start)) {
-			const event = buffered.subarray(start, end);
-			events.push({bytes: event, id: parseEventId(event), isComment: isComment(event)});
+		for (let end = this.#findEventEnd(bytes, start); end > 0; end = this.#findEventEnd(bytes, start)) {
+			events.push(parseEvent(this.#complete(bytes.subarray(start, end))));
 			start = end;
 		}
 
-		this.#pending = buffered.slice(start);
-		if (this.#pending.length > maximumEventBytes) {
+		const rest = bytes.subarray(start);
+		if (this.#pending.length + rest.length > maximumEventBytes) {
 			throw new RangeError(`event exceeds ${maximumEventBytes} bytes`);
 		}
 
+		this.#pending.append(rest);
 		return events;
 	}
-}
 
-/** Position after the empty line that ends an event; 0 if the event is incomplete. */
-function findEventEnd(bytes: Uint8Array, start: number): number {
-	for (let position = bytes.indexOf(lineFeed, start); position >= 0; position = bytes.indexOf(lineFeed, position + 1)) {
-		const lineEnd = bytes[position + 1] === carriageReturn ? position + 2 : position + 1;
-		if (bytes[lineEnd] === lineFeed) {
-			return lineEnd + 1;
+	#complete(end: Uint8Array): Uint8Array {
+		if (this.#pending.length === 0) {
+			return end;
 		}
+
+		this.#pending.append(end);
+		return this.#pending.take();
 	}
 
-	return 0;
+	/** Position after the empty line that ends an event; 0 if the event is incomplete. */
+	#findEventEnd(bytes: Uint8Array, start: number): number {
+		let position = start;
+		while (position < bytes.length) {
+			if (this.#lineStart === 'other') {
+				position = bytes.indexOf(lineFeed, position) + 1;
+				if (position === 0) {
+					return 0;
+				}
+
+				this.#lineStart = 'empty';
+			} else {
+				const byte = bytes[position];
+				position += 1;
+				if (byte === lineFeed) {
+					this.#lineStart = 'other';
+					return position;
+				}
+
+				this.#lineStart = byte === carriageReturn && this.#lineStart === 'empty' ? 'carriage-return' : 'other';
+			}
+		}
+
+		return 0;
+	}
+}
+
+function parseEvent(bytes: Uint8Array): StreamEvent {
+	const text = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length).toString('latin1');
+	return {bytes, id: parseEventId(text), isComment: isComment(text)};
 }
 
 const idLinePattern = /^id: ?(\d{1,15})\r?$/mv;
 
-function parseEventId(event: Uint8Array): number | undefined {
-	const match = idLinePattern.exec(Buffer.from(event).toString('latin1'));
+function parseEventId(event: string): number | undefined {
+	const match = idLinePattern.exec(event);
 	return match ? Number(match[1]) : undefined;
 }
 
-const comment = ':'.codePointAt(0);
-
 /** Whether every line of an event begins with a colon. */
-function isComment(event: Uint8Array): boolean {
-	return event[0] === comment && !/^[^:\r\n]/mv.test(Buffer.from(event).toString('latin1'));
+function isComment(event: string): boolean {
+	return event.startsWith(':') && !/^[^:\r\n]/mv.test(event);
 }
--- a/src/serving/forwarded-request-options.ts
+++ b/src/serving/forwarded-request-options.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type {MemoryBudget} from '../memory/memory-budget.js';
 import type {RequestFingerprints} from '../quarantine/request-fingerprint.js';
 import type {RequestGuard} from '../quarantine/request-guard.js';
 import type {EventLog} from '../telemetry/log.js';
@@ -12,7 +13,6 @@
 import type {
 	CustomerKeys, RequestHeaderValues, RequestProtocol, Route, Service,
 } from './model.js';
-import type {ResponseBuffers} from './response-buffers.js';
 import type {RetryBudget} from './retry-budget.js';
 import type {ServingMetrics} from './serving-metrics.js';
 
@@ -40,8 +40,8 @@
 	fingerprints: RequestFingerprints;
 	/** Keeps the request from engines if it may crash them. */
 	guard: RequestGuard;
-	/** Bounds what all requests hold of their responses. */
-	buffers: ResponseBuffers;
+	/** Bounds what this instance keeps for others. */
+	memory: MemoryBudget;
 	metrics: ServingMetrics;
 	log: EventLog;
 	/** Version of the configuration with which the request was admitted. */
--- a/src/serving/forwarded-request.ts
+++ b/src/serving/forwarded-request.ts
@@ -205,7 +205,7 @@
 	}
 
 	#startAttempt(engine: ChosenEngine, listener: EngineAttemptListener): EngineAttempt {
-		const {protocol, rawHeaders, customer, method, path, body, headerValues, callerResponse, buffers} = this.#options;
+		const {protocol, rawHeaders, customer, method, path, body, headerValues, callerResponse, memory, service} = this.#options;
 		this.#lastEngine = engine;
 		this.#lifecycle.admit();
 		this.#lifecycle.markWaiting();
@@ -228,7 +228,7 @@
 			protocol,
 			requestId: headerValues.requestId,
 			callerResponse,
-			buffers,
+			memory, owner: customer?.name ?? service.name,
 			lastEventId: this.#lastEventId,
 			firstEventTimeout: engine.firstEventTimeout,
 			eventGapTimeout: engine.eventGapTimeout,
--- a/src/serving/hedged-attempts.ts
+++ b/src/serving/hedged-attempts.ts
@@ -133,6 +133,7 @@
 		try {
 			hedgeEngine = await this.#handlers.chooseHedgeEngine();
 			if (hedgeEngine && !this.#isAborted && this.#eventCount === previousEventCount && this.#handlers.admitHedge(idleAttempt, timeout, hedgeEngine)) {
+				this.#lastOutcome = undefined;
 				this.#startAttempt(hedgeEngine);
 				idleAttempt.isHedged = true;
 				return;
@@ -165,7 +166,8 @@
 		this.#inFlightAttempts.delete(inFlight);
 		inFlight.engine.release();
 		this.#handlers.onAttemptEnd(inFlight, outcome);
-		this.#lastOutcome = outcome;
+		// The response in an outcome takes memory for as long as it is kept.
+		this.#lastOutcome = this.#isHedging ? outcome : undefined;
 		if (this.#isAborted || outcome.kind === 'complete' || (this.#inFlightAttempts.size === 0 && !this.#isHedging)) {
 			this.#resolve?.(outcome);
 		}
--- a/src/serving/serving-instance.ts
+++ b/src/serving/serving-instance.ts
@@ -212,7 +212,7 @@
 			},
 		});
 		this.#admission = new Admission({
-			...admissionState, protocol, chooser, answerDurations, quarantine: this.#quarantine, metrics: this.#metrics, log,
+			...admissionState, protocol, chooser, answerDurations, quarantine: this.#quarantine, memory: this.#memory, metrics: this.#metrics, log,
 			retryBudget: new RetryBudget({
 				ratio: bounds.retryRatio, window: bounds.retryWindow, allowance: bounds.retryAllowance, fleet: () => this.#peerMessenger.fleet,
 			}),
