fix(serving): an engine's bytes that are no body end the exchange

What was seen: the runtime's parser bounds a head, a trailer and a chunk extension, each by 16 KB, but neither the empty lines before a head, nor the digits of a chunk size (zeros), nor the sum of the extensions of all chunks. An engine that sent them without end was read until the deadline of the request: 403, 722 and 470 MB in 3 s from 20 connections on.

Change: an exchange ends as broken once its bytes beside the body exceed 256 KB and twice the body. Heads within the runtime's limits fit: ten provisional ones and the final one take 176 KB at most.

--- a/src/serving/http-exchange.ts
+++ b/src/serving/http-exchange.ts
@@ -16,6 +16,13 @@
 /** Most provisional responses (status 1xx) before the final one. */
 const maximumProvisionalResponses = 10;
 
+/**
+ * Most bytes that a response may take beside its body: more than the heads that the runtime accepts, of 16 KB each, and for each
+ * byte of the body as much as chunks of three bytes take.
+ */
+const maximumFramingBytes = 262_144;
+const maximumFramingPerBodyByte = 2;
+
 /** The request to send and how to reach its receiver. */
 export type HttpExchangeOptions = {
 	connector: EngineConnector;
@@ -56,6 +63,8 @@
 	#stream: Duplex | undefined;
 	#relay: string | undefined;
 	#response: http.IncomingMessage | undefined;
+	#receivedBytes = 0;
+	#bodyBytes = 0;
 	#isEnded = false;
 	#streamError: string | undefined;
 
@@ -118,7 +127,7 @@
 			}
 		});
 		request.once('socket', () => {
-			this.#scanHeads(stream);
+			this.#scan(stream);
 		});
 		let provisionalResponses = 0;
 		request.on('information', () => {
@@ -133,19 +142,20 @@
 		request.end(body);
 	}
 
-	/** Checks the heads on a stream to which the parser listens already, so that no byte passes it by. */
-	#scanHeads(stream: Duplex): void {
+	/** Checks what arrives on a stream to which the parser listens already, so that no byte passes it by. */
+	#scan(stream: Duplex): void {
 		const scanner = new ResponseHeadScanner();
-		const scan = (bytes: Uint8Array) => {
-			if (!scanner.scan(bytes)) {
-				stream.off('data', scan);
+		stream.prependListener('data', (bytes: Uint8Array) => {
+			if (!scanner.isFinished && !scanner.scan(bytes)) {
 				this.#fail('response is not valid HTTP: a carriage return in its head is not followed by a line feed');
-			} else if (scanner.isFinished) {
-				stream.off('data', scan);
 			}
-		};
 
-		stream.prependListener('data', scan);
+			if (this.#receivedBytes - this.#bodyBytes > maximumFramingBytes + (maximumFramingPerBodyByte * this.#bodyBytes)) {
+				this.#fail(`response of ${this.#receivedBytes} bytes has only ${this.#bodyBytes} bytes of body`);
+			}
+
+			this.#receivedBytes += bytes.length;
+		});
 	}
 
 	#onResponse(response: http.IncomingMessage): void {
@@ -167,6 +177,7 @@
 		});
 		response.on('data', (bytes: Uint8Array) => {
 			if (!this.#isEnded) {
+				this.#bodyBytes += bytes.length;
 				this.#listener.onData(bytes);
 			}
 		});
