feat(soak): floods, signals from the spawn on, torn settings and taken ports

Processes run with all options of the deploy file and limits.memory_mb 350; flooding callers have a customer of their own.

Ends by SIGHUP before there is a listener are a figure of the run's line. An end by another signal than SIGTERM and SIGKILL after a process was told to end counts now, which is stricter than before. The proxy waits for the far side before it reads on, so that floods do not fill the harness.

--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -3,15 +3,16 @@
  *
  * @module
  */
-import {customerName} from '../platform/stand-in/deployment.js';
+import {customerName, floodCustomerName} from '../platform/stand-in/deployment.js';
 import {eventText, plainResponseBody} from '../platform/stand-in/engine.js';
 import type {Call} from './callers.js';
+import {isFloodRequest} from './flood-faults.js';
 import {
 	describeLoss, hasTimedOut, isExcusedByStop, lostOnKeptConnections, lostRequests, overdueRequests, type PlannedEvidence,
 } from './planned-checks.js';
 
 /** Statuses that promise that a request has not run and never will. */
-const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+export const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
 /** Time in milliseconds beyond the deadline within which every request is over. */
 const overtime = 1000;
@@ -48,6 +49,8 @@
 	routeAddedAt: number;
 	/** Reservations that were still held after all requests had ended. */
 	heldReservations: number;
+	/** Number of engines that sent something without end as their answer to a request, by its id. */
+	floodedRequests: ReadonlyMap<string, number>;
 };
 
 /** Promises that were broken, each with the request that shows it. */
@@ -58,8 +61,9 @@
 	}
 
 	return [
-		...evidence.calls.flatMap(call => callProblems(call, runsOf.get(call.id) ?? 0, evidence.events)),
-		...evidence.runs.filter(run => run.customer !== customerName).map(run => `request ${run.requestId} ran for customer ${String(run.customer)}`),
+		...evidence.calls.flatMap(call => callProblems(call, runsOf.get(call.id) ?? 0, evidence)),
+		...evidence.runs.filter(run => run.customer !== (isFloodRequest(run.requestId) ? floodCustomerName : customerName))
+			.map(run => `request ${run.requestId} ran for customer ${String(run.customer)}`),
 		...plannedProblems(evidence),
 		...lostRequests(evidence).map(loss => describeLoss(loss)),
 		...(evidence.isPlannedRun
@@ -74,7 +78,7 @@
 	];
 }
 
-function callProblems(call: Call, runs: number, events: number): string[] {
+function callProblems(call: Call, runs: number, {events, floodedRequests}: Pick<Evidence, 'events' | 'floodedRequests'>): string[] {
 	const problems: string[] = [];
 	const say = (problem: string) => {
 		problems.push(`request ${call.id} (${call.kind} at ${call.instance}): ${problem}`);
@@ -100,8 +104,11 @@
 		const expected = call.kind === 'stream' || call.kind === 'large'
 			? Array.from({length: call.events ?? events}, (_, index) => eventText(index + 1)).join('')
 			: plainResponseBody(call.id);
+		// What an engine sends without end goes beyond it.
+		const isExtension = floodedRequests.has(call.id) && call.body.startsWith(expected);
 		// An answer that is cut is the beginning of the whole one.
-		if (call.whole ? call.body !== expected : !expected.startsWith(call.body)) {
+		const isBeginning = !call.whole && expected.startsWith(call.body);
+		if (call.body !== expected && !isBeginning && !isExtension) {
 			say(`another answer than its own: ${JSON.stringify(call.body.slice(0, 60))}`);
 		}
 	}
--- a/soak/engines.ts
+++ b/soak/engines.ts
@@ -25,6 +25,8 @@
 	entryPort: number;
 	born: number;
 	state: 'ready' | 'draining';
+	/** Port of what sends without end in its place; undefined while nothing does. */
+	floodPort?: number | undefined;
 };
 
 /** Requests that crash engines, and what engines saw of them. */
@@ -50,6 +52,8 @@
 	/** Requests and parts of split prefills, by the engines that work on them. */
 	readonly domainArrivals: EngineArrival[] = [];
 	readonly coldSpans: ColdSpan[] = [];
+	/** Number of engines that sent something without end as their answer to a request, by its id. */
+	readonly floodedRequests = new Map<string, number>();
 	readonly work = new EngineWork();
 	readonly #engines: Engine[] = [];
 	readonly #store: StandInStore;
@@ -84,7 +88,7 @@
 	async start(id: string, service: string, domain: string): Promise<void> {
 		const model = this.#model(id);
 		const engine: Engine = {
-			id, service, domain, model, port: await model.listen(), proxy: new Proxy(() => engine.port), entryPort: 0, born: Date.now(), state: 'ready',
+			id, service, domain, model, port: await model.listen(), proxy: new Proxy(() => engine.floodPort ?? engine.port), entryPort: 0, born: Date.now(), state: 'ready',
 		};
 		engine.entryPort = await engine.proxy.listen();
 		this.#engines.push(engine);
@@ -129,6 +133,14 @@
 		await this.#startAgain(engine);
 	}
 
+	/** Records a request that ran at what takes the place of an engine. */
+	recordFlood(run: Run, isEndless: boolean): void {
+		this.runs.push(run);
+		if (isEndless) {
+			this.floodedRequests.set(run.requestId, (this.floodedRequests.get(run.requestId) ?? 0) + 1);
+		}
+	}
+
 	/** Starts no engine again from now on. */
 	stop(): void {
 		this.#isStopped = true;
--- a/soak/instances.ts
+++ b/soak/instances.ts
@@ -11,7 +11,8 @@
 import {settingsPathVariable} from '../platform/settings.js';
 import {instanceSettingsDocument, type ScarcityLimits} from '../platform/stand-in/deployment.js';
 import {call} from './callers.js';
-import {ports} from './ports.js';
+import {memoryLimit} from './memory-watch.js';
+import {metricsPort, ports} from './ports.js';
 
 /** Time in milliseconds for an instance to be ready. */
 const startTime = 15_000;
@@ -22,6 +23,17 @@
 /** Time in milliseconds after which an instance that ended is started again. */
 const restartDelay = 300;
 
+/** Last lines of a process that are reported when it ends by itself, but for lines of the runtime that are parts of a stack or of its heap's history. */
+const reportedLines = 3;
+const stackLine = /^\s*(?:\d+: |-----|\[\d+:|<---|$)/v;
+
+/** Options and arguments of a process as the deploy file has them, with a port of the harness. */
+const deployedOptions = ['--max-old-space-size=160', '--max-semi-space-size=4', '--v8-pool-size=0'];
+const deployedArguments = ['--metrics-port', String(metricsPort)];
+
+/** Signals by which a process may end that was told to. */
+const endSignals: ReadonlySet<NodeJS.Signals | undefined> = new Set(['SIGTERM', 'SIGKILL']);
+
 /** The program as this tree builds it. */
 export const currentProgram = 'dist/carobquay-front.cjs';
 
@@ -42,6 +54,8 @@
 	failureDomain: string;
 	/** Undefined where the settings state none. */
 	limits: ScarcityLimits | undefined;
+	/** Whether processes run with all options of the deploy file and a memory limit. */
+	isDeployed: boolean;
 };
 
 /** One instance and the process that runs it now. */
@@ -54,6 +68,15 @@
 	readonly stops: number[] = [];
 	/** Processes that had not ended at the end of the grace period. */
 	kills = 0;
+	/** Ages in milliseconds at which SIGHUP ended processes whose runtime had no listener yet. */
+	readonly earlyHangups: number[] = [];
+	readonly settingsPath: string;
+	/** Text of the settings as a whole. */
+	settingsText = '';
+	readonly #isDeployed: boolean;
+	/** What is done before the next spawn, and who waits for it. */
+	#beforeSpawn: Array<() => Promise<void>> = [];
+	#spawnWaiters: Array<() => void> = [];
 	readonly #folder: string;
 	readonly #failureDomain: string;
 	readonly #limits: ScarcityLimits | undefined;
@@ -65,12 +88,14 @@
 	#hasLogged = false;
 	#isStopped = false;
 
-	constructor({number, lane, folder, program, programBefore, failureDomain, limits}: InstanceOptions) {
+	constructor({number, lane, folder, program, programBefore, failureDomain, limits, isDeployed}: InstanceOptions) {
 		this.#failureDomain = failureDomain;
 		this.#limits = limits;
 		this.name = `instance-${number}`;
 		this.ip = `127.0.${lane}.${number}`;
 		this.#folder = folder;
+		this.settingsPath = path.join(folder, `${this.name}.json`);
+		this.#isDeployed = isDeployed;
 		this.#laterProgram = program;
 		this.#program = programBefore ?? program;
 	}
@@ -80,13 +105,30 @@
 		return this.#process !== undefined && !this.#isToldToEnd;
 	}
 
+	/** Id of the process that runs now; undefined while none does. */
+	get processId(): number | undefined {
+		return this.#process?.pid;
+	}
+
+	/** Resolves at the next spawn. @param before - Done before it. */
+	async nextSpawn(before?: () => Promise<void>): Promise<void> {
+		if (before) {
+			this.#beforeSpawn.push(before);
+		}
+
+		return new Promise(resolve => {
+			this.#spawnWaiters.push(resolve);
+		});
+	}
+
 	/** Writes the settings and starts the process, now and after each end. @param store - Port of the store. */
 	async start(store: number, seeds: readonly string[]): Promise<void> {
-		const settings = path.join(this.#folder, `${this.name}.json`);
-		await writeFile(settings, JSON.stringify(instanceSettingsDocument({
+		this.settingsText = JSON.stringify(instanceSettingsDocument({
 			name: this.name, ip: this.ip, ports, storePort: store, seeds, gracePeriod, failureDomain: this.#failureDomain, limits: this.#limits,
-		})));
-		this.#spawn(settings);
+			memoryLimit: this.#isDeployed ? memoryLimit : undefined,
+		}));
+		await writeFile(this.settingsPath, this.settingsText);
+		this.#spawn();
 	}
 
 	signal(signal: NodeJS.Signals): void {
@@ -133,34 +175,66 @@
 		}
 	}
 
-	#spawn(settings: string): void {
-		const child = spawn(process.execPath, ['--max-old-space-size=160', this.#program, 'front'], {
-			env: {PATH: process.env.PATH, [settingsPathVariable]: settings}, stdio: ['ignore', 'pipe', 'pipe'],
+	async #spawnAgain(): Promise<void> {
+		const work = this.#beforeSpawn;
+		this.#beforeSpawn = [];
+		for (const task of work) {
+			await task(); // eslint-disable-line no-await-in-loop
+		}
+
+		if (!this.#isStopped) {
+			this.#spawn();
+		}
+	}
+
+	#spawn(): void {
+		const options = this.#isDeployed ? [...deployedOptions, this.#program, 'front', ...deployedArguments] : ['--max-old-space-size=160', this.#program, 'front'];
+		const child = spawn(process.execPath, options, {
+			env: {PATH: process.env.PATH, [settingsPathVariable]: this.settingsPath}, stdio: ['ignore', 'pipe', 'pipe'],
 		});
 		const startedAt = performance.now();
 		const log = createWriteStream(path.join(this.#folder, `${this.name}.log`), {flags: 'a'});
 		child.stdout.pipe(log);
 		child.stderr.pipe(log);
+		let tail = '';
+		const keepTail = (bytes: Uint8Array) => {
+			const lines = `${tail}${new TextDecoder().decode(bytes)}`.split('\n');
+			tail = [...lines.slice(0, -1).filter(line => !stackLine.test(line)).slice(-reportedLines), lines.at(-1)].join('\n');
+		};
+
+		child.stdout.on('data', keepTail);
+		child.stderr.on('data', keepTail);
 		this.#hasLogged = false;
 		child.stdout.once('data', () => {
 			this.#hasLogged = true;
 		});
 		this.#process = child;
+		const waiters = this.#spawnWaiters;
+		this.#spawnWaiters = [];
+		for (const resolve of waiters) {
+			resolve();
+		}
+
 		child.once('exit', (code, signal) => {
 			this.#process = undefined;
-			const hadNoListener = signal === 'SIGHUP' && !this.#hasLogged && performance.now() - startedAt < runtimeStartTime;
+			const age = performance.now() - startedAt;
+			const hadNoListener = signal === 'SIGHUP' && !this.#hasLogged && age < runtimeStartTime;
 			// After SIGTERM a process may be killed as well, but an exit of its own has to succeed.
-			if (!this.#isStopped && !hadNoListener && !(this.#isToldToEnd && (code === 0 || signal !== null)) && this.#program === this.#laterProgram) {
-				this.unexpectedEnds.push(`code ${code}, signal ${signal}`);
+			const isExpected = this.#isToldToEnd && (code === 0 || (signal !== null && endSignals.has(signal)));
+			if (hadNoListener) {
+				this.earlyHangups.push(age);
+			}
+
+			if (!this.#isStopped && !hadNoListener && !isExpected && this.#program === this.#laterProgram) {
+				const told = this.#isToldToEnd ? ', after it was told to' : '';
+				this.unexpectedEnds.push(`code ${code}, signal ${signal}, ${Math.round(age)} ms after its start${told}; last lines: ${tail.trim().replaceAll('\n', ' | ')}`);
 			}
 
 			this.#isToldToEnd = false;
 			this.#program = this.#laterProgram;
 			if (!this.#isStopped) {
 				setTimeout(() => {
-					if (!this.#isStopped) {
-						this.#spawn(settings);
-					}
+					void this.#spawnAgain();
 				}, restartDelay);
 			}
 		});
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -5,6 +5,7 @@
  */
 import process from 'node:process';
 import {Command} from 'commander';
+import {describeFloods} from './floods.js';
 import {currentProgram} from './instances.js';
 import {describeFigures} from './planned-figures.js';
 import {SoakRun} from './run.js';
@@ -29,12 +30,13 @@
 	.option('--evacuate', 'evacuations of failure domains beside the faults', false)
 	.option('--cold', 'cold engines beside the faults', false)
 	.option('--ranks', 'routes of different ranks', false)
+	.option('--floods', 'floods from callers, engines, store and peers, signals and failed starts, beside which the faults come late in the run', false)
 	.option('--keep-logs', 'keep the logs of runs that passed', false)
 	.parse();
 const options = program.opts<{
 	seeds: string; from: string; seconds: string; instances?: string; engines?: string; rate: string; callers: string; lane?: string;
 	program: string; before?: string; planned: boolean; silence: boolean; keepLogs: boolean;
-	evacuate: boolean; cold: boolean; ranks: boolean;
+	evacuate: boolean; cold: boolean; ranks: boolean; floods: boolean;
 }>();
 const sizes = options.planned ? plannedSizes : usualSizes;
 
@@ -44,12 +46,12 @@
 	const run = new SoakRun({
 		seed, duration: Number(options.seconds) * 1000, instances: Number(options.instances ?? sizes.instances), engines: Number(options.engines ?? sizes.engines),
 		rate: Number(options.rate), callers: Number(options.callers), isPlanned: options.planned, hasSilence: options.silence, keepLogs: options.keepLogs,
-		hasEvacuations: options.evacuate, hasColdEngines: options.cold, hasRanks: options.ranks,
+		hasEvacuations: options.evacuate, hasColdEngines: options.cold, hasRanks: options.ranks, hasFloods: options.floods,
 		lane: options.lane === undefined ? undefined : Number(options.lane), program: options.program, programBefore: options.before,
 	});
-	const {problems, calls, served, logs, faults, planned} = await run.run(); // eslint-disable-line no-await-in-loop
+	const {problems, calls, served, logs, faults, planned, floods} = await run.run(); // eslint-disable-line no-await-in-loop
 	const outcome = problems.length === 0 ? 'held' : 'broken';
-	const figures = planned === undefined ? '' : `; ${describeFigures(planned)}`;
+	const figures = `${planned === undefined ? '' : `; ${describeFigures(planned)}`}${floods === undefined ? '' : `; ${describeFloods(floods)}`}`;
 	const kept = logs === undefined ? '' : `, logs in ${logs}`;
 	process.stdout.write(`seed ${seed}: ${outcome}, ${served} of ${calls} requests served, ${faults.length} faults${figures}${kept}\n`);
 	for (const problem of problems.slice(0, 10)) {
--- a/soak/proxy.ts
+++ b/soak/proxy.ts
@@ -56,6 +56,14 @@
 		}
 	}
 
+	/** Resets the connections that are open, whatever fault is in force. */
+	resetOpen(): void {
+		for (const {near, far} of this.#pairs) {
+			near.resetAndDestroy();
+			far.resetAndDestroy();
+		}
+	}
+
 	/** Cuts off the connections from an address. Those that hang stay silent for good, as their bytes are lost. */
 	cutSource(address: string, cut: SourceCut): void {
 		this.#cutSources.set(address, cut);
@@ -126,9 +134,18 @@
 			}
 		};
 
+		const resume = () => {
+			from.resume();
+		};
+
+		// The end of a connection that is not read shows only when reading goes on.
+		to.once('close', resume);
 		from.on('data', bytes => {
 			pass(() => {
-				to.write(bytes);
+				if (!to.write(bytes)) {
+					from.pause();
+					to.once('drain', resume);
+				}
 			});
 		});
 		from.on('end', () => {
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -25,27 +25,25 @@
 import {brokenStatements} from './statement-checks.js';
 import {coldProblems, type ColdSpan, evacuationProblems} from './domain-checks.js';
 import {
-	type ColdCause, domainCount, domainOf, drawFaults, drawScarcity, type Fault, isBorneBefore, isOddInput, isPlanned, type ScarcityFaults, type SoakSize,
+	type ColdCause, domainCount, domainOf, type Fault, isOddInput, isPlanned,
 } from './faults.js';
+import {bodyLimit} from './caller-floods.js';
+import {type FloodFault, isFloodFault} from './flood-faults.js';
+import {type FloodFigures, Floods} from './floods.js';
+import {type DrawOptions, drawRun} from './draws.js';
 import {Instance} from './instances.js';
 import {cutSources, strikeLink} from './link-faults.js';
 import {leaveEntry, sendHeads} from './odd-input.js';
 import {Operator} from './operator.js';
-import {drawPlannedWork, silenceEngines} from './planned-work.js';
+import {silenceEngines} from './planned-work.js';
 import {Proxy} from './proxy.js';
 import {plannedTraffic, type Traffic, usualTraffic} from './traffic.js';
 
 /** What a run is made of. */
-export type SoakOptions = SoakSize & ScarcityFaults & {
+export type SoakOptions = DrawOptions & {
 	seed: number;
-	/** In milliseconds. */
-	duration: number;
 	/** Requests a second. */
 	rate: number;
-	/** Whether there is planned work and silence of engines alone. */
-	isPlanned: boolean;
-	/** Whether engines are silent beside planned work. */
-	hasSilence: boolean;
 	/** Callers beside planned work, each with a connection of its own. */
 	callers: number;
 	/** Whether routes have different ranks. */
@@ -56,12 +54,13 @@
 	lane: number | undefined;
 	/** Program that the processes run. */
 	program: string;
-	/** Program of another build that the first processes run; undefined for the same one. */
-	programBefore: string | undefined;
 };
 
 /** How a run went. */
-export type SoakResult = {problems: string[]; calls: number; served: number; logs: string | undefined; faults: readonly Fault[]; planned: PlannedFigures | undefined};
+export type SoakResult = {
+	problems: string[]; calls: number; served: number; logs: string | undefined;
+	faults: ReadonlyArray<Fault | FloodFault>; planned: PlannedFigures | undefined; floods: FloodFigures | undefined;
+};
 
 /** Loopback networks of runs, by their seeds. */
 const firstLane = 10;
@@ -103,6 +102,7 @@
 	readonly #storeLinks: Proxy[] = [];
 	readonly #windows: FaultWindow[] = [];
 	readonly #poisonCallers: PoisonCallers;
+	readonly #floods: Floods;
 	readonly #calls: Array<Promise<Call>> = [];
 	#instances: Instance[] = [];
 	#isAdded = false;
@@ -111,34 +111,42 @@
 		this.#options = options;
 		this.#poisonCallers = new PoisonCallers(options.seed);
 		this.#traffic = options.isPlanned ? plannedTraffic : usualTraffic;
-		this.#operator = new Operator(this.#store, this.#traffic.requestTimeout, {hasRanks: options.hasRanks, coldStart: options.hasColdEngines ? coldStart : undefined});
+		this.#operator = new Operator(this.#store, this.#traffic.requestTimeout, {
+			hasRanks: options.hasRanks, coldStart: options.hasColdEngines ? coldStart : undefined, ...(options.hasFloods && {bodyLimit, hasFloodCustomer: true}),
+		});
 		this.#engines = new Engines({
 			store: this.#store, traffic: this.#traffic, crashing: this.#poisonCallers, coldness: options.hasColdEngines ? {duration: coldStart.duration, limit: coldLimit} : undefined,
 		});
+		this.#floods = new Floods({
+			seed: options.seed, engines: this.#engines, storeLinks: this.#storeLinks, events: this.#traffic.events.greatest,
+		});
 	}
 
 	async run(): Promise<SoakResult> {
-		const {seed, duration, keepLogs, programBefore, isPlanned: isPlannedRun, hasSilence} = this.#options;
+		const {seed, duration, keepLogs, isPlanned: isPlannedRun} = this.#options;
 		const folder = await mkdtemp(path.join(os.tmpdir(), `carobquay-soak-${seed}-`));
 		const generator = xoroshiro128plus(seed);
-		const faults = [...(isPlannedRun ? drawPlannedWork : drawFaults)(generator, duration, this.#options), ...drawScarcity(generator, duration, this.#options)]
-			.filter(fault => (programBefore === undefined || isBorneBefore(fault)) && (hasSilence || fault.kind !== 'silence'));
+		const faults = drawRun(generator, this.#options);
 		let problems = ['the run did not end'];
 		try {
 			await this.#start(folder);
 			const plannedCallers = new PlannedCallers({seed, instances: this.#instances, traffic: this.#traffic});
 			this.#stallWatch.start();
+			if (this.#options.hasFloods) {
+				this.#floods.start(this.#instances);
+			}
+
 			const begunAt = performance.now();
 			const playing = Promise.all(faults.map(async fault => this.#playFault(fault)));
 			await (isPlannedRun ? plannedCallers.run(this.#options.callers, duration) : this.#callFor(duration, number => uniformInt(generator, 0, number - 1), begunAt));
 			await playing;
 			const calls = [...await Promise.all(this.#calls), ...plannedCallers.calls];
 			await sleep(releaseTime);
-			const {runs, arrivals, domainArrivals, coldSpans, work: {ends: workEnds}, heldReservations} = this.#engines;
+			const {runs, arrivals, domainArrivals, coldSpans, work: {ends: workEnds}, heldReservations, floodedRequests} = this.#engines;
 			const evidence = {
 				calls, isPlannedRun, runs, windows: [...this.#windows, ...coldSpans.map(span => coldWindowOf(span))],
 				events: this.#traffic.events.greatest, heldReservations, routeAddedAt: this.#operator.routeAddedAt,
-				workEnds, stops: new Map(this.#instances.map(({name, stops}) => [name, stops])), routeTimeouts: this.#operator.routeTimeouts, stalls: this.#stallWatch.stalls,
+				workEnds, stops: new Map(this.#instances.map(({name, stops}) => [name, stops])), routeTimeouts: this.#operator.routeTimeouts, stalls: this.#stallWatch.stalls, floodedRequests,
 			};
 			problems = [
 				...brokenPromises(evidence),
@@ -147,6 +155,7 @@
 				...brokenStatements({calls, arrivals, windows: evidence.windows}),
 				...plannedCallers.strayAnswers,
 				...evacuationProblems({arrivals: domainArrivals, evacuations: this.#operator.evacuations, limit: scarcityLimits.evacuation}),
+				...this.#options.hasFloods ? this.#floods.problems(evidence) : [],
 				...coldProblems({arrivals: domainArrivals, spans: coldSpans, limit: coldLimit}),
 			];
 			const kills = this.#instances.reduce((sum, instance) => sum + instance.kills, 0);
@@ -158,7 +167,7 @@
 
 			return {
 				problems, calls: calls.length, served: calls.filter(({status, whole}) => status === 200 && whole).length,
-				logs: problems.length > 0 || keepLogs ? folder : undefined, faults, planned,
+				logs: problems.length > 0 || keepLogs ? folder : undefined, faults, planned, floods: this.#options.hasFloods ? this.#floods.figures(evidence) : undefined,
 			};
 		} finally {
 			await this.#stop();
@@ -184,11 +193,11 @@
 		this.#store.put(storeLocations.engines, 'foreign', 'no entry of an engine');
 		this.#instances = Array.from({length: instances}, (_, number) => new Instance({
 			number: number + 1, lane: this.#options.lane ?? firstLane + (this.#options.seed % lanes), folder, program, programBefore,
-			failureDomain: domains[this.#hasScarcity ? number % domainCount(engines) : 0]!, limits: this.#hasScarcity ? scarcityLimits : undefined,
+			failureDomain: domains[this.#hasScarcity ? number % domainCount(engines) : 0]!, limits: this.#hasScarcity ? scarcityLimits : undefined, isDeployed: this.#options.hasFloods,
 		}));
 		const seeds = this.#instances.slice(0, 2).map(({ip}) => ip);
 		for (const instance of this.#instances) {
-			const link = new Proxy(() => storePort);
+			const link = new Proxy(() => this.#floods.storePort ?? storePort);
 			this.#storeLinks.push(link);
 			await instance.start(await link.listen(), seeds); // eslint-disable-line no-await-in-loop
 		}
@@ -208,18 +217,18 @@
 		}
 	}
 
-	async #playFault(fault: Fault): Promise<void> {
+	async #playFault(fault: Fault | FloodFault): Promise<void> {
 		await sleep(fault.at);
 		const window: FaultWindow = {
 			name: fault.kind, instance: 'instance' in fault ? this.#instances[fault.instance]!.name : undefined,
-			isPlanned: isPlanned(fault), from: performance.now(), until: Number.POSITIVE_INFINITY,
+			isPlanned: !isFloodFault(fault) && isPlanned(fault), from: performance.now(), until: Number.POSITIVE_INFINITY,
 		};
 		// Odd input changes nothing for others, so that requests beside it are calm.
-		if (!isOddInput(fault)) {
+		if (isFloodFault(fault) || !isOddInput(fault)) {
 			this.#windows.push(window);
 		}
 
-		await this.#strike(fault);
+		await (isFloodFault(fault) ? this.#floods.play(fault) : this.#strike(fault));
 		window.until = performance.now();
 	}
 
@@ -360,6 +369,7 @@
 	async #stop(): Promise<void> {
 		this.#engines.stop();
 		this.#stallWatch.stop();
+		this.#floods.stop();
 		await Promise.all(this.#instances.map(async instance => instance.stop()));
 		closeCallers();
 		this.#store.close();
