feat(soak): floods of engines leave what is in progress, and more engines beside them

Idle connections are closed instead. Runs with floods have 12 engines, so that engines of each service are left, and write at most 150 MB a second, so that the harness keeps its time.

--- a/soak/caller-floods.ts
+++ b/soak/caller-floods.ts
@@ -20,8 +20,8 @@
 /** Time in milliseconds that callers of a flood state. */
 const deadline = 5000;
 
-/** Requests that are pipelined in one write, some 200 a second on each connection, and the length of a header in each. */
-const pipelinedRequests = 2;
+/** Requests that are pipelined in one write, some 400 a second on each connection, and the length of a header in each. */
+const pipelinedRequests = 4;
 const paddingLength = 4000;
 
 /** Events of a stream whose caller reads nothing. */
--- a/soak/endless-writer.ts
+++ b/soak/endless-writer.ts
@@ -8,8 +8,8 @@
 /** Interval in milliseconds between two writes. */
 export const writeInterval = 10;
 
-/** Bytes that are written in each interval to all connections together, some 60 MB a second. */
-const bytesPerInterval = 655_360;
+/** Bytes that are written in each interval to all connections together, some 150 MB a second. */
+const bytesPerInterval = 1_572_864;
 
 let interval = 0;
 let bytesLeft = bytesPerInterval;
--- a/soak/floods.ts
+++ b/soak/floods.ts
@@ -28,6 +28,9 @@
 /** Time in milliseconds from the last signal of a stop until the next process is asked for. */
 const checkInterval = 50;
 
+/** Interval in milliseconds in which idle connections to an engine are closed whose place a flood takes. */
+const closeInterval = 100;
+
 /** Floods of one run. */
 export class Floods {
 	/** Port of a store that sends without end; undefined while the store is sound. */
@@ -128,8 +131,12 @@
 		});
 		const port = await server.listen();
 		engine.floodPort = port;
-		engine.proxy.resetOpen();
-		await sleep(duration);
+		for (const endsAt = performance.now() + duration; performance.now() < endsAt;) {
+			// What the engine had begun ends as usual, and new requests need new connections.
+			engine.model.closeIdleConnections();
+			await sleep(closeInterval); // eslint-disable-line no-await-in-loop
+		}
+
 		if (engine.floodPort === port) {
 			engine.floodPort = undefined;
 		}
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -10,16 +10,18 @@
 import {describeFigures} from './planned-figures.js';
 import {SoakRun} from './run.js';
 
-/** Sizes of a run, if nothing else is said: with planned work alone, and with the other faults. */
+/** Sizes of a run, if nothing else is said: with planned work alone, with the other faults, and with floods. */
 const plannedSizes = {instances: 8, engines: 21};
 const usualSizes = {instances: 4, engines: 6};
+/** Beside floods enough engines of each service are left. */
+const floodSizes = {instances: 4, engines: 12};
 
 const program = new Command('soak')
 	.option('--seeds <number>', 'runs', '5')
 	.option('--from <number>', 'first seed', '1')
 	.option('--seconds <number>', 'length of a run with its quiet start and end', '20')
 	.option('--instances <number>', `processes (default: ${usualSizes.instances}, ${plannedSizes.instances} with --planned)`)
-	.option('--engines <number>', `stand-ins of engines (default: ${usualSizes.engines}, ${plannedSizes.engines} with --planned)`)
+	.option('--engines <number>', `stand-ins of engines (default: ${usualSizes.engines}, ${plannedSizes.engines} with --planned, ${floodSizes.engines} with --floods)`)
 	.option('--rate <number>', 'requests a second, without --planned', '40')
 	.option('--callers <number>', 'callers that keep their connections, with --planned', '96')
 	.option('--lane <number>', 'third number of the addresses (default: from the seed), so that runs may go beside each other')
@@ -38,7 +40,8 @@
 	program: string; before?: string; planned: boolean; silence: boolean; keepLogs: boolean;
 	evacuate: boolean; cold: boolean; ranks: boolean; floods: boolean;
 }>();
-const sizes = options.planned ? plannedSizes : usualSizes;
+const otherSizes = options.floods ? floodSizes : usualSizes;
+const sizes = options.planned ? plannedSizes : otherSizes;
 
 let passed = 0;
 let failed = 0;
