fix(startup): a start waits for settings and ports, and ends with a cause of its own

Seen by operators: the system did not start.

Change: settings are read again, and EADDRINUSE and EADDRNOTAVAIL tried again, with growing waits and one line for each new state. The readiness port is opened first and answers 503 until all are open; connections to the store are opened after the last port, as the kernel may give an outgoing connection the number of a port that is still to be opened. SIGTERM and SIGINT have their listeners before the settings are read and end each wait at once.

--- a/src/commands/front-command.ts
+++ b/src/commands/front-command.ts
@@ -12,5 +12,6 @@
 		.description('run an instance on the platform, with the settings that the platform gives it')
 		.option('--log-level <level>', 'least level of log lines: debug, info, warn or error', 'info')
 		.option('--metrics-port <port>', 'port for metrics on the instance\'s address')
+		.option('--start-limit <ms>', 'time to wait for settings that are not valid yet, and for ports that are taken where the settings say nothing else', '30000')
 		.action(run);
 }
--- a/src/commands/front.ts
+++ b/src/commands/front.ts
@@ -7,14 +7,15 @@
 import v8 from 'node:v8';
 import {PlatformEngineReserver} from '../../platform/engine-reserver.js';
 import {PlatformProtocol} from '../../platform/protocol.js';
-import {loadPlatformSettings, settingsPathFromEnvironment} from '../../platform/settings.js';
+import {loadPlatformSettings, type ResolvedPlatformSettings, settingsPathFromEnvironment} from '../../platform/settings.js';
 import {StoreClient} from '../../platform/store-client.js';
 import {storeTables} from '../../platform/store-tables.js';
-import {errorMessage} from '../errors/errors.js';
+import {CarobquayError, errorMessage} from '../errors/errors.js';
 import {ServingInstance} from '../serving/serving-instance.js';
 import {codeCacheOutcome} from '../startup/code-cache.js';
 import {EndReport} from '../startup/end-report.js';
 import {MemoryWarning} from '../startup/memory-warning.js';
+import {defaultStartLimit, repeatUntilSuccess} from '../startup/repeated-attempt.js';
 import {
 	fileDescriptorSink, fileDescriptorWriter, LineWriter, stopBlockingOnStandardOutput,
 } from '../telemetry/line-writer.js';
@@ -33,6 +34,11 @@
 	 * @default no metrics are served
 	 */
 	metricsPort?: string;
+	/**
+	 * Time in milliseconds for which settings that are not valid yet are waited for, and ports where the settings set no other.
+	 * @default 30000
+	 */
+	startLimit?: string;
 };
 
 /** Time in milliseconds to write the last log lines. */
@@ -43,7 +49,7 @@
  *
  * @param onHangup - Sets the listener for SIGHUP.
  */
-export async function front({logLevel, metricsPort}: FrontOptions, onHangup: (listener: () => void) => void = listenForHangups): Promise<void> {
+export async function front({logLevel, metricsPort, startLimit}: FrontOptions, onHangup: (listener: () => void) => void = listenForHangups): Promise<void> {
 	stopBlockingOnStandardOutput();
 	const writer = new LineWriter(fileDescriptorSink(1), fileDescriptorWriter(1));
 	const log = new EventLog({
@@ -57,11 +63,35 @@
 	log.info('instance.starting', {
 		runtime: process.version, pid: process.pid, platform: `${process.platform}-${process.arch}`, heap_limit: v8.getHeapStatistics().heap_size_limit, code_cache: codeCacheOutcome() ?? 'none',
 	});
+	const running = new RunningInstance();
+	const stop = async (signal: NodeJS.Signals) => {
+		if (running.isStopping) {
+			return;
+		}
+
+		end.record('signal', {signal});
+		log.info('instance.signal', {instance: running.instance?.name, signal});
+		await running.stop();
+		await writer.flush(lastLines);
+		process.exit(exitCodes.success); // eslint-disable-line unicorn/no-process-exit
+	};
+
+	process.on('SIGTERM', signal => {
+		void stop(signal);
+	});
+	process.on('SIGINT', signal => {
+		void stop(signal);
+	});
 	try {
 		await start({
-			writer, log, end, metricsPort, onHangup,
+			writer, log, end, metricsPort, onHangup, running, startLimit: startLimit === undefined ? defaultStartLimit : Number(startLimit),
 		});
 	} catch (error) {
+		if (running.isStopping) {
+			// The signal ends the process.
+			return;
+		}
+
 		log.error('instance.start-failed', {reason: errorMessage(error)});
 		end.record('failed-start', {error: errorMessage(error)});
 		await writer.flush(lastLines);
@@ -69,18 +99,42 @@
 	}
 }
 
-async function start({writer, log, end, metricsPort, onHangup}: {
-	writer: LineWriter; log: EventLog; end: EndReport; metricsPort: string | undefined; onHangup: (listener: () => void) => void;
+/** The instance of this process, from the first wait of its start to its end. */
+class RunningInstance {
+	/** Undefined until the settings have been read. */
+	instance: {name: string; serving: ServingInstance} | undefined;
+	readonly #stopping = new AbortController();
+
+	/** Aborted when the process is told to end. */
+	get signal(): AbortSignal {
+		return this.#stopping.signal;
+	}
+
+	get isStopping(): boolean {
+		return this.#stopping.signal.aborted;
+	}
+
+	/** Ends the waits of the start, or the instance after the requests in flight. */
+	async stop(): Promise<void> {
+		this.#stopping.abort();
+		await this.instance?.serving.stop();
+	}
+}
+
+async function start({writer, log, end, metricsPort, onHangup, running, startLimit}: {
+	writer: LineWriter; log: EventLog; end: EndReport; metricsPort: string | undefined; onHangup: (listener: () => void) => void; running: RunningInstance; startLimit: number;
 }): Promise<void> {
 	const path = settingsPathFromEnvironment();
-	const settingsAtStart = loadPlatformSettings(path);
+	const settingsAtStart = waitForSettings(path, log, startLimit, running.signal);
 	onHangup(() => {
 		void reload(path, settingsAtStart, log);
 	});
 	const settings = await settingsAtStart;
-	log.info('instance.settings', {instance: settings.instance, ip: settings.ip, memory_limit: settings.memoryLimit});
-	const instance = new ServingInstance({
+	const instanceLog = log.with({instance: settings.instance});
+	instanceLog.info('instance.settings', {ip: settings.ip, memory_limit: settings.memoryLimit});
+	const serving = new ServingInstance({
 		...settings,
+		startLimit: settings.startLimit ?? startLimit,
 		metrics: metricsPort === undefined ? undefined : {host: settings.ip, port: Number(metricsPort)},
 		peerPort: settings.internalPorts.first,
 		relayPort: settings.internalPorts.first + 1,
@@ -88,40 +142,35 @@
 		tables: storeTables,
 		protocol: new PlatformProtocol(),
 		reservationClient: new PlatformEngineReserver(),
-		log: log.with({instance: settings.instance}),
+		log: instanceLog,
 		droppedLineCount: () => writer.droppedLineCount,
 	});
-	const {memory} = instance;
+	running.instance = {name: settings.instance, serving};
+	const {memory} = serving;
 	end.watchMemory(memory);
-	const warning = new MemoryWarning({log: log.with({instance: settings.instance}), memory, memoryLimit: settings.memoryLimit});
-	let isStopping = false;
-	const stop = async (signal: NodeJS.Signals) => {
-		if (isStopping) {
-			return;
-		}
-
-		isStopping = true;
-		end.record('signal', {signal});
-		log.info('instance.signal', {instance: settings.instance, signal});
-		await instance.stop();
-		await writer.flush(lastLines);
-		process.exit(exitCodes.success); // eslint-disable-line unicorn/no-process-exit
-	};
-
-	process.on('SIGTERM', signal => {
-		void stop(signal);
-	});
-	process.on('SIGINT', signal => {
-		void stop(signal);
-	});
+	const warning = new MemoryWarning({log: instanceLog, memory, memoryLimit: settings.memoryLimit});
 	try {
-		await instance.start();
+		await serving.start();
 	} catch (error) {
 		warning.close();
 		throw error;
 	}
 }
 
+/** Reads the settings until they are valid. @throws {CarobquayError} 7003 if that takes too long. */
+async function waitForSettings(path: string, log: EventLog, timeLimit: number, signal: AbortSignal): Promise<ResolvedPlatformSettings> {
+	try {
+		return await repeatUntilSuccess({
+			attempt: async () => loadPlatformSettings(path), timeLimit, signal, onFailure(error) {
+				log.warn('instance.settings-unusable', {path, reason: errorMessage(error)});
+			},
+		});
+	} catch (error) {
+		signal.throwIfAborted();
+		throw new CarobquayError('7003', {message: `settings file ${path} should be valid within ${timeLimit} ms, found: ${errorMessage(error)}`, cause: error});
+	}
+}
+
 function listenForHangups(listener: () => void): void {
 	process.on('SIGHUP', listener);
 }
--- a/src/errors/catalogue.ts
+++ b/src/errors/catalogue.ts
@@ -175,6 +175,12 @@
 	7002: {
 		status: 400, name: 'invalid-command', ran: 'no', remedy: 'See "carobquay help".',
 	},
+	7003: {
+		status: 400, name: 'settings-unusable', ran: 'no', remedy: 'Correct the settings file that the message names; the process reads it again until it gives up.',
+	},
+	7004: {
+		status: 503, name: 'port-unavailable', ran: 'no', remedy: 'End the process that holds the port, or change the address in the settings.',
+	},
 	// Errors in the protocol between instances.
 	8001: {
 		status: 400, name: 'bad-frame', ran: 'no', remedy: 'Run instances of compatible versions with the same peer keys.',
--- a/src/peers/__tests__/peer-datagram.test.ts
+++ b/src/peers/__tests__/peer-datagram.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import {Encoder} from 'cbor-x';
+import {EventLog} from '../../telemetry/log.js';
 import {decodeDatagram, encodeDatagram, type PeerDatagram} from '../peer-datagram.js';
 import {fetchTableSnapshot, TableServer, type TableSnapshot} from '../table-transfer.js';
 
@@ -93,7 +94,7 @@
 	};
 	const server = new TableServer(table => table === 0 ? snapshot : undefined);
 	const port = 18_400 + (process.pid % 1000);
-	await server.listen('127.0.0.1', port);
+	await server.listen('127.0.0.1', port, new EventLog());
 	t.teardown(() => {
 		server.close();
 	});
--- a/src/peers/peer-messenger.ts
+++ b/src/peers/peer-messenger.ts
@@ -8,6 +8,7 @@
  * @module
  */
 import dgram from 'node:dgram';
+import {once} from 'node:events';
 import {performance} from 'node:perf_hooks';
 import {errorMessage} from '../errors/errors.js';
 import type {DomainLoadReport} from '../placement/domain-loads.js';
@@ -90,6 +91,10 @@
 	constructor(options: PeerMessengerOptions) {
 		this.#options = options;
 		this.#membership = new PeerMembership(options.ip);
+		this.#socket.on('message', (bytes, {address}) => {
+			eventLoop.recordTurn();
+			this.#receive(bytes, address);
+		});
 	}
 
 	/** Number of known peers, including silent ones that are not yet removed. */
@@ -116,20 +121,12 @@
 		return this.#membership.failureDomainOf(ip);
 	}
 
-	/** @throws the error of the socket where the address cannot be bound. */
+	/** @throws the error of the socket where the address cannot be bound; it may be started again then. */
 	async start(): Promise<void> {
 		const {ip, port, log} = this.#options;
-		this.#socket.on('message', (bytes, {address}) => {
-			eventLoop.recordTurn();
-			this.#receive(bytes, address);
-		});
-		await new Promise<void>((resolve, reject) => {
-			this.#socket.once('error', reject);
-			this.#socket.bind(port, ip, () => {
-				this.#socket.off('error', reject);
-				resolve();
-			});
-		});
+		const opened = once(this.#socket, 'listening');
+		this.#socket.bind(port, ip);
+		await opened;
 		this.#socket.on('error', error => {
 			log.error('peers.socket-failed', {reason: error.message});
 		});
--- a/src/peers/table-transfer.ts
+++ b/src/peers/table-transfer.ts
@@ -8,6 +8,8 @@
 import net from 'node:net';
 import {deflateRawSync, inflateRawSync} from 'node:zlib';
 import {Encoder} from 'cbor-x';
+import {openServer} from '../startup/ports.js';
+import type {EventLog} from '../telemetry/log.js';
 import type {RowChange} from '../watch/row-source.js';
 import type {TableDigest} from '../watch/table-replica.js';
 
@@ -56,11 +58,9 @@
 		});
 	}
 
-	async listen(host: string, port: number): Promise<void> {
-		await new Promise<void>((resolve, reject) => {
-			this.#server.once('error', reject);
-			this.#server.listen({host, port}, resolve);
-		});
+	/** @throws the error of the socket; it may be opened again then. */
+	async listen(host: string, port: number, log: EventLog): Promise<void> {
+		await openServer(this.#server, {host, port}, log);
 	}
 
 	close(): void {
--- a/src/relay/relay-server.ts
+++ b/src/relay/relay-server.ts
@@ -12,6 +12,7 @@
 import type {Duplex} from 'node:stream';
 import {errorMessage} from '../errors/errors.js';
 import type {EngineRecord} from '../serving/model.js';
+import {openServer} from '../startup/ports.js';
 import type {EventLog} from '../telemetry/log.js';
 import type {EngineConnector} from '../upstream/engine-connector.js';
 import type {EnginePaths} from './engine-paths.js';
@@ -63,11 +64,9 @@
 		return this.#activeCount;
 	}
 
+	/** @throws the error of the socket; it may be opened again then. */
 	async listen(host: string, port: number): Promise<void> {
-		await new Promise<void>((resolve, reject) => {
-			this.#server.once('error', reject);
-			this.#server.listen({host, port}, resolve);
-		});
+		await openServer(this.#server, {host, port}, this.#options.log);
 	}
 
 	close(): void {
--- a/src/serving/caller-listener.ts
+++ b/src/serving/caller-listener.ts
@@ -5,6 +5,8 @@
  */
 import http from 'node:http';
 import type {Socket} from 'node:net';
+import {openServer} from '../startup/ports.js';
+import type {EventLog} from '../telemetry/log.js';
 import {LingeringConnections} from './lingering-connections.js';
 import type {CallerLimits} from './model.js';
 
@@ -72,13 +74,9 @@
 		this.#server.keepAliveTimeout = idleTimeout + keepAliveMargin;
 	}
 
-	async listen({host, port}: {host: string; port: number}): Promise<void> {
-		return new Promise((resolve, reject) => {
-			this.#server.once('error', reject);
-			this.#server.listen({host, port, backlog}, () => {
-				resolve();
-			});
-		});
+	/** @throws the error of the socket; it may be opened again then. */
+	async listen({host, port}: {host: string; port: number}, log: EventLog): Promise<void> {
+		await openServer(this.#server, {host, port, backlog}, log);
 	}
 
 	/** Accepts no new connections and closes those without a request in progress. */
--- a/src/serving/serving-instance-options.ts
+++ b/src/serving/serving-instance-options.ts
@@ -40,6 +40,11 @@
 	regions?: ReadonlyMap<string, string>;
 	/** Memory that the process may take, in bytes; undefined where no limit is known. */
 	memoryLimit?: number | undefined;
+	/**
+	 * Time in milliseconds for which ports that are taken are waited for.
+	 * @default 30000
+	 */
+	startLimit?: number | undefined;
 	callers: Endpoint;
 	readiness: Endpoint;
 	/** Address on which metrics and the quarantine list are served; undefined for none. */
--- a/src/serving/serving-instance.ts
+++ b/src/serving/serving-instance.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import type http from 'node:http';
 import {performance} from 'node:perf_hooks';
 import {createMemoryBudget} from '../memory/process-memory.js';
 import type {MemoryBudget} from '../memory/memory-budget.js';
@@ -23,6 +22,7 @@
 import {PlacementCoordinator} from '../placement/placement-coordinator.js';
 import {EngineAccess} from '../relay/engine-access.js';
 import {RequestQuarantine} from '../quarantine/request-quarantine.js';
+import {openPorts} from '../startup/ports.js';
 import {eventLoop} from '../telemetry/event-loop-monitor.js';
 import {CrashCheck} from '../upstream/crash-check.js';
 import {ActiveConfiguration} from '../watch/active-configuration.js';
@@ -40,7 +40,7 @@
 import type {ChoiceSources} from './choice-explanation.js';
 import {EngineChooser, type EngineChooserOptions} from './engine-chooser.js';
 import type {EngineRecord} from './model.js';
-import {listenHttp} from './http-listener.js';
+import {InstancePorts} from './instance-ports.js';
 import {InstanceRegistration} from './instance-registration.js';
 import {answerOperator} from './operator-requests.js';
 import {PeerDiscovery} from './peer-discovery.js';
@@ -81,11 +81,12 @@
 	readonly #promptQueue: PromptQueue;
 	readonly #admission: Admission;
 	readonly #listener: CallerListener;
-	readonly #auxiliaryServers: http.Server[] = [];
+	readonly #ports: InstancePorts;
 	readonly #discovery = new PeerDiscovery();
 	readonly #explainer: RequestExplainer;
 	readonly #shutdown: Shutdown;
-	#isClosed = false;
+	readonly #closing = new AbortController();
+	#isOpen = false;
 
 	constructor(options: ServingInstanceOptions) {
 		this.#options = options;
@@ -221,6 +222,12 @@
 			eventLoop.recordTurn();
 			void this.#admission.handle(request, response);
 		});
+		this.#ports = new InstancePorts({
+			...options, isReady: () => this.isReady, tableServer: this.#tableServer, relay: this.#access, peerMessenger: this.#peerMessenger, callerListener: this.#listener,
+			answerOperator: (request, response) => {
+				void answerOperator({metrics: this.#metrics.registry, quarantine: this.#quarantine, explainer: this.#explainer}, request, response);
+			},
+		});
 		this.#registerGauges(placementCoordinator);
 	}
 
@@ -231,19 +238,23 @@
 
 	/** Whether this instance accepts new connections. */
 	get isReady(): boolean {
-		return this.#shutdown.state === 'serving' && this.#configuration.routes !== undefined && this.#engines.size > 0;
+		return this.#isOpen && this.#shutdown.state === 'serving' && this.#configuration.routes !== undefined && this.#engines.size > 0;
 	}
 
-	/** Opens all ports. @throws the error of one that cannot be opened; the others are closed then. */
+	/** Opens all ports, and waits for those that are taken. @throws {CarobquayError} 7004 if one cannot be opened; the others are closed then. */
 	async start(): Promise<void> {
-		const {log, callers, instance, ip} = this.#options;
+		const {log, callers, instance, ip, startLimit} = this.#options;
 		try {
-			await this.#open();
+			await openPorts(this.#ports.inOrder, {log, timeLimit: startLimit, signal: this.#closing.signal});
 		} catch (error) {
 			this.close();
 			throw error;
 		}
 
+		this.#isOpen = true;
+		// Outgoing connections come after the ports, as the kernel may give them any port that is free.
+		this.#replication.start();
+
 		this.#peerMessenger.contact(this.#options.seeds);
 		void this.#discovery.join(this.#peerMessenger, this.#registration);
 		log.info('instance.started', {
@@ -251,9 +262,14 @@
 		});
 	}
 
-	/** Reports that it is not ready, waits for the requests in flight and resolves when the process may exit. */
+	/** Reports that it is not ready, waits for the requests in flight and resolves when the process may exit: at once if it has not started. */
 	async stop(): Promise<void> {
 		const {log} = this.#options;
+		if (!this.#isOpen) {
+			this.close();
+			return;
+		}
+
 		this.#shutdown.begin();
 		this.#promptQueue.stop();
 		this.#peerMessenger.announce();
@@ -272,11 +288,11 @@
 
 	/** Closes all listeners and connections at once; does nothing if they are closed. */
 	close(): void {
-		if (this.#isClosed) {
+		if (this.#closing.signal.aborted) {
 			return;
 		}
 
-		this.#isClosed = true;
+		this.#closing.abort();
 		this.#shutdown.close();
 		this.#listener.close();
 		this.#replication.close();
@@ -287,29 +303,7 @@
 		this.#quarantineGossip.close();
 		this.#peerMessenger.close();
 		this.#options.store.close();
-		for (const server of this.#auxiliaryServers) {
-			server.close();
-		}
-	}
-
-	async #open(): Promise<void> {
-		const {callers, readiness, metrics, ip, peerPort} = this.#options;
-		this.#replication.start();
-		await this.#peerMessenger.start();
-		await this.#tableServer.listen(ip, peerPort);
-		await this.#access.listen();
-		if (metrics) {
-			this.#auxiliaryServers.push(await listenHttp(metrics, (request, response) => {
-				void answerOperator({metrics: this.#metrics.registry, quarantine: this.#quarantine, explainer: this.#explainer}, request, response);
-			}));
-		}
-
-		// No request is accepted before all other ports are open.
-		await this.#listener.listen(callers);
-		this.#auxiliaryServers.push(await listenHttp(readiness, (_request, response) => {
-			response.writeHead(this.isReady ? 200 : 503, ['Content-Length', '0']);
-			response.end();
-		}));
+		this.#ports.close();
 	}
 
 	#createReplicatedTable(index: TableIndex, {table: name, ...content}: {table: string} & Pick<TableReplicaOptions, 'fingerprint' | 'statedTime'>, listener: TableListener): ReplicatedTable {
--- a/src/watch/__tests__/evacuations.test.ts
+++ b/src/watch/__tests__/evacuations.test.ts
@@ -103,7 +103,7 @@
 		name: 'a copy of the table', async pass({replica}, peer) {
 			const server = new TableServer(() => ({digest: replica.digest, rows: replica.rows}));
 			const port = 19_400 + (process.pid % 1000);
-			await server.listen('127.0.0.1', port);
+			await server.listen('127.0.0.1', port, new EventLog());
 			const {rows, digest} = await fetchTableSnapshot('127.0.0.1', port, 0);
 			server.close();
 			peer.replica.applySnapshot(rows, digest);
