fix(startup): the failure that ends a wait is reported as well

Seen once: the case of a 200 ms limit in waiting-start.test.ts failed at load 32, as a starved process had its first failure after the limit, and no line told what it waited for.

Change: a failure that differs from the one before is reported whether or not there is another attempt.

--- a/src/startup/repeated-attempt.ts
+++ b/src/startup/repeated-attempt.ts
@@ -36,7 +36,7 @@
 		try {
 			return await attempt(); // eslint-disable-line no-await-in-loop
 		} catch (error) {
-			if (!isTemporary(error) || performance.now() >= deadline) {
+			if (!isTemporary(error)) {
 				throw error;
 			}
 
@@ -45,6 +45,10 @@
 				lastFailure = message;
 				onFailure(error);
 			}
+
+			if (performance.now() >= deadline) {
+				throw error;
+			}
 		}
 
 		await sleepUnlessAborted(Math.min(backoff.next(), deadline - performance.now()), signal); // eslint-disable-line no-await-in-loop
