fix(startup): a connection that cannot be accepted does not end the process

Cause: after the start no listener for 'error' stayed at the servers but one that was left over from the start and took the first error; the second was thrown and ended the process.

Change: each open server reports such errors, once a second at most, and stays open. Errors of opening are still thrown to the start.

--- a/src/startup/ports.ts
+++ b/src/startup/ports.ts
@@ -35,6 +35,9 @@
 /** Errors of an address that another process may give up, or that the machine has not got yet. */
 const temporaryCodes: ReadonlySet<unknown> = new Set(['EADDRINUSE', 'EADDRNOTAVAIL']);
 
+/** Shortest time in milliseconds between two lines about connections that a port could not accept. */
+const acceptLogInterval = 1000;
+
 /** @throws {CarobquayError} 7004 if a port cannot be opened. */
 export async function openPorts(ports: readonly Port[], {log, timeLimit = defaultStartLimit, signal}: OpenPortsOptions): Promise<void> {
 	const deadline = performance.now() + timeLimit;
@@ -57,11 +60,18 @@
 	}
 }
 
-/** Opens a server. @throws the error of the socket; it may be opened again then. */
+/** Opens a server. A connection that cannot be accepted later on leaves it open. @throws the error of the socket; it may be opened again then. */
 export async function openServer(server: net.Server, address: {host: string; port: number; backlog?: number}, log: EventLog): Promise<void> {
 	const opened = once(server, 'listening');
 	server.listen(address);
 	await opened;
+	let lastLoggedAt = Number.NEGATIVE_INFINITY;
+	server.on('error', error => {
+		if (performance.now() - lastLoggedAt >= acceptLogInterval) {
+			lastLoggedAt = performance.now();
+			log.warn('connection.not-accepted', {address: `${address.host}:${address.port}`, reason: error.message});
+		}
+	});
 }
 
 function errorCode(error: unknown): string | undefined {
