feat(relay): what waits in relayed connections is counted by the memory budget

Cause: a relay reads no further from an engine whose peer does not read, and the other way round, but each of 500 relays may hold what the runtime reads at once and its buffer, both ways, and nothing bounded them together or knew of other sources. A peer could also open any number of connections on which no request had arrived yet.

Change: bytes that wait are reserved as "relayed-bytes", by peer, and the source is paused where there is no room. A new relay is refused as unavailable where there is no room for one more (256 KB).

Evidence: the case of relay-server.test.ts fails with the check for room taken out (the ninth relay is opened).

--- a/src/relay/__tests__/relay-server.test.ts
+++ b/src/relay/__tests__/relay-server.test.ts
@@ -3,11 +3,13 @@
 import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
+import {MemoryBudget} from '../../memory/memory-budget.js';
 import {HttpExchange} from '../../serving/http-exchange.js';
 import {EventLog} from '../../telemetry/log.js';
 import {DirectConnector, type FailureEvidence} from '../../upstream/engine-connector.js';
 import {EnginePaths} from '../engine-paths.js';
 import {RelayConnector} from '../relay-connector.js';
+import {encodeRelayRequest} from '../relay-protocol.js';
 import {RelayServer} from '../relay-server.js';
 import {createEngineRecord, listen, unusedPort} from './stand-in-path.js';
 
@@ -17,7 +19,7 @@
 const longBody = Buffer.alloc(300_000, 'request ');
 
 /** A relay in front of an engine that serves each connection. */
-async function startRelay(t: ExecutionContext, serve: (socket: net.Socket, firstBytes: Uint8Array) => void, options: {isPeer?: boolean; isAvailable?: boolean; hasOthers?: boolean} = {}) {
+async function startRelay(t: ExecutionContext, serve: (socket: net.Socket, firstBytes: Uint8Array) => void, options: {isPeer?: boolean; isAvailable?: boolean; hasOthers?: boolean; memory?: MemoryBudget} = {}) {
 	const engineSockets = new Set<net.Socket>();
 	const engine = net.createServer(socket => {
 		engineSockets.add(socket);
@@ -35,7 +37,8 @@
 		log, engine: findEngine, readyEngines: () => options.hasOthers === false ? [] : [createEngineRecord('other', ports.get('other'))], connectDirectly, onCutOffChange: () => undefined,
 	});
 	const server = new RelayServer({
-		log, paths, acceptingEngine: findEngine, connectDirectly, isPeer: () => options.isPeer ?? true, isAvailable: () => options.isAvailable ?? true,
+		log, paths, memory: options.memory ?? new MemoryBudget({ceiling: 32 * 1_048_576}),
+		acceptingEngine: findEngine, connectDirectly, isPeer: () => options.isPeer ?? true, isAvailable: () => options.isAvailable ?? true,
 	});
 	const port = await unusedPort();
 	await server.listen('127.0.0.1', port);
@@ -254,3 +257,42 @@
 	server.close();
 	t.like(await exchange(port).outcome, {end: 'unreachable', evidence: 'unconfirmed'});
 });
+
+// Guards against a process that keeps for its peers what it relays to and from sockets that nobody reads.
+test('what waits in relayed connections is counted, and further ones are refused where there is no room', async t => {
+	const memory = new MemoryBudget({ceiling: 600_000});
+	const {port, server} = await startRelay(t, socket => {
+		const send = () => {
+			let isWritable = true;
+			while (isWritable && !socket.destroyed) {
+				isWritable = socket.write(longBody);
+			}
+		};
+
+		socket.on('drain', send);
+		send();
+	}, {memory});
+	const unread = Array.from({length: 8}, () => {
+		const peer = net.connect({host: '127.0.0.1', port});
+		peer.write(encodeRelayRequest({engineId: 'engine', requestId: 'r', lifetime: 60_000}));
+		peer.once('data', () => {
+			peer.pause().write('request');
+		});
+		return peer.on('error', () => undefined);
+	});
+	let peak = 0;
+	await until(() => {
+		peak = Math.max(peak, memory.total);
+		return !memory.hasRoom('relayed-bytes', 262_144);
+	});
+
+	t.like(await exchange(port).outcome, {end: 'unreachable', evidence: 'unconfirmed'});
+	t.true(server.activeCount > 0);
+	for (const peer of unread) {
+		peer.destroy();
+	}
+
+	await until(() => server.activeCount === 0);
+	t.is(memory.total, 0);
+	t.true(peak <= memory.ceiling);
+});
--- a/src/relay/engine-access.ts
+++ b/src/relay/engine-access.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type {MemoryBudget} from '../memory/memory-budget.js';
 import type {EngineRecord} from '../serving/model.js';
 import type {EventLog} from '../telemetry/log.js';
 import {DirectConnector, type DirectConnectorOptions, type EngineConnector} from '../upstream/engine-connector.js';
@@ -20,6 +21,8 @@
 	/** Port on which instances relay, the same at all of them. */
 	relayPort: number;
 	log: EventLog;
+	/** Bounds the bytes that wait in connections that this instance relays. */
+	memory: MemoryBudget;
 	engine: (id: string) => EngineRecord | undefined;
 	/** Engines of all services that accept new requests. */
 	readyEngines: () => readonly EngineRecord[];
@@ -47,7 +50,7 @@
 
 	constructor(options: EngineAccessOptions) {
 		this.#options = options;
-		const {ownIp, failureDomain, regions, relayPort, log, engine, readyEngines, isAccepting, peers, onOfferChange} = options;
+		const {ownIp, failureDomain, regions, relayPort, log, memory, engine, readyEngines, isAccepting, peers, onOfferChange} = options;
 		this.#paths = new EnginePaths({
 			log, engine, readyEngines, connectDirectly: this.connectDirectly.bind(this), onCutOffChange: onOfferChange,
 		});
@@ -56,7 +59,7 @@
 			ownIp, relayPort, paths: this.#paths, relayPeers, connectDirectly: this.connectDirectly.bind(this),
 		});
 		this.#server = new RelayServer({
-			log, paths: this.#paths,
+			log, memory, paths: this.#paths,
 			isPeer: ip => peers().some(peer => peer.ip === ip),
 			acceptingEngine(id) {
 				const record = engine(id);
--- a/src/relay/relay-server.ts
+++ b/src/relay/relay-server.ts
@@ -11,6 +11,7 @@
 import {performance} from 'node:perf_hooks';
 import type {Duplex} from 'node:stream';
 import {errorMessage} from '../errors/errors.js';
+import type {MemoryBudget, MemoryReservation} from '../memory/memory-budget.js';
 import type {EngineRecord} from '../serving/model.js';
 import type {EventLog} from '../telemetry/log.js';
 import type {EngineConnector} from '../upstream/engine-connector.js';
@@ -22,6 +23,12 @@
 /** Most connections that are relayed at once; each takes two descriptors and the buffers of two sockets. */
 const maximumRelays = 500;
 
+/** Most connections of peers, those included on which no request has arrived yet. */
+const maximumPeerConnections = 2 * maximumRelays;
+
+/** Bytes that one relayed connection may keep waiting, both ways together: what the runtime reads at once and its buffer, each twice. */
+const maximumWaitingBytes = 262_144;
+
 /** Time in milliseconds within which a peer sends its request. */
 const requestTimeout = 1000;
 
@@ -31,9 +38,14 @@
 /** Time in milliseconds without bytes after which the peer's end of a connection is probed. */
 const keepAliveDelay = 1000;
 
+/** What waits in relayed connections counts as this part of the memory that the instance keeps for others. */
+const memorySource = 'relayed-bytes';
+
 /** Options of a `RelayServer`. */
 export type RelayServerOptions = {
 	log: EventLog;
+	/** Bounds the bytes that wait in relayed connections. */
+	memory: MemoryBudget;
 	/** Whether an IP address is that of a live instance. */
 	isPeer: (ip: string) => boolean;
 	/** An engine that accepts new requests of this instance. */
@@ -80,7 +92,7 @@
 	#accept(peer: net.Socket): void {
 		// The peer sees the same failure and reports it.
 		peer.on('error', () => undefined);
-		if (!this.#options.isPeer(peer.remoteAddress ?? '')) {
+		if (!this.#options.isPeer(peer.remoteAddress ?? '') || this.#peers.size >= maximumPeerConnections) {
 			peer.destroy();
 			return;
 		}
@@ -114,16 +126,18 @@
 	}
 
 	async #serve(peer: net.Socket, request: RelayRequest): Promise<void> {
-		const {acceptingEngine, isAvailable, paths} = this.#options;
+		const {acceptingEngine, isAvailable, paths, memory} = this.#options;
 		const record = acceptingEngine(request.engineId);
-		if (!isAvailable() || this.#activeCount >= maximumRelays || paths.isBroken(request.engineId)) {
+		const waiting = memory.hasRoom(memorySource, maximumWaitingBytes) ? memory.reserve({source: memorySource, owner: peer.remoteAddress ?? '', bytes: 0}) : undefined;
+		if (!waiting || !isAvailable() || this.#activeCount >= maximumRelays || paths.isBroken(request.engineId)) {
 			this.#refuse(peer, request, 'unavailable');
 		} else if (record) {
 			this.#activeCount += 1;
 			try {
-				await this.#relay(peer, request, record);
+				await this.#relay(peer, request, record, waiting);
 			} finally {
 				this.#activeCount -= 1;
+				waiting.release();
 			}
 		} else {
 			this.#refuse(peer, request, 'engine-unknown');
@@ -131,7 +145,7 @@
 	}
 
 	/** Resolves when the connection to the peer has closed. */
-	async #relay(peer: net.Socket, request: RelayRequest, record: EngineRecord): Promise<void> {
+	async #relay(peer: net.Socket, request: RelayRequest, record: EngineRecord, waiting: MemoryReservation): Promise<void> {
 		const {paths, connectDirectly, log} = this.#options;
 		const startedAt = performance.now();
 		let lifetimeTimer: NodeJS.Timeout | undefined;
@@ -145,7 +159,7 @@
 				paths.recordReached(record.id);
 				log.info('relay.opened', {request: request.requestId, engine: record.id, peer: peer.remoteAddress});
 				peer.write(encodeRelayStatus('connected'));
-				couple(peer, engine);
+				couple(peer, engine, waiting);
 				lifetimeTimer = setTimeout(() => {
 					peer.destroy();
 				}, request.lifetime + lifetimeMargin);
@@ -179,23 +193,27 @@
  * the connection to the peer is closed without the marked end. It is not reset: the runtime never closes a socket that fails
  * in the middle of that.
  */
-function couple(peer: net.Socket, engine: Duplex): void {
+function couple(peer: net.Socket, engine: Duplex, waiting: MemoryReservation): void {
+	const reserve = () => waiting.resize(peer.writableLength + engine.writableLength);
+	/** Reads no further from the source while bytes wait beyond the buffer of the target, or beyond the budget. */
+	const pass = (source: Duplex, target: Duplex, bytes: Uint8Array) => {
+		const hasRoom = target.write(bytes, () => {
+			reserve();
+			if (target.writableLength === 0) {
+				source.resume();
+			}
+		});
+		if (!reserve() || !hasRoom) {
+			source.pause();
+		}
+	};
+
 	engine.on('data', (bytes: Uint8Array) => {
 		peer.write(encodeFrameHeader(bytes.length));
-		if (!peer.write(bytes)) {
-			engine.pause();
-		}
-	});
-	peer.on('drain', () => {
-		engine.resume();
+		pass(engine, peer, bytes);
 	});
 	peer.on('data', (bytes: Uint8Array) => {
-		if (!engine.write(bytes)) {
-			peer.pause();
-		}
-	});
-	engine.on('drain', () => {
-		peer.resume();
+		pass(peer, engine, bytes);
 	});
 	engine.once('end', () => {
 		// Node reports a reset that arrives together with data as a regular end. Only after a reset is the remote address unset.
--- a/src/serving/serving-instance.ts
+++ b/src/serving/serving-instance.ts
@@ -130,7 +130,7 @@
 			reachableShare: () => this.#peerMessenger.ring.length / (this.#peerMessenger.peerCount + 1),
 		});
 		this.#access = new EngineAccess({
-			ownIp: ip, failureDomain, regions, relayPort: options.relayPort, log, connectDirectly: options.connectDirectly,
+			ownIp: ip, failureDomain, regions, relayPort: options.relayPort, log, memory: this.#memory, connectDirectly: options.connectDirectly,
 			engine: id => this.#engines.get(id), readyEngines: () => this.#engines.allReady,
 			isAccepting: record => this.#engines.mayReceive(record) && this.#pauses.timeLeft(record.id, performance.now()) === 0,
 			peers: () => this.#peerMessenger.alivePeers,
