fix(peers): a table is encoded once for all peers that fetch it together

What was seen: 300 connections that ask an instance for a table of 2.25 MB and read nothing.

Change: connections share one encoding of each state of a table, which is reserved as "tables" until the last of them has it, and end after the time limit of a transfer. What an instance fetches is collected in blocks and reserved as well. A transfer for which there is no room fails and is tried again.

--- a/src/peers/__tests__/peer-datagram.test.ts
+++ b/src/peers/__tests__/peer-datagram.test.ts
@@ -1,8 +1,11 @@
 import test from 'ava';
 import {Encoder} from 'cbor-x';
+import {MemoryBudget} from '../../memory/memory-budget.js';
 import {decodeDatagram, encodeDatagram, type PeerDatagram} from '../peer-datagram.js';
 import {fetchTableSnapshot, TableServer, type TableSnapshot} from '../table-transfer.js';
 
+const memory = new MemoryBudget({ceiling: 32 * 1_048_576});
+
 const datagram: PeerDatagram = {
 	origin: 'front-1~k3',
 	replication: {
@@ -91,16 +94,16 @@
 	const snapshot: TableSnapshot = {
 		digest: {era: 0, version: 12, checksum: 99}, rows: Array.from({length: 2000}, (_, index) => ({key: `route-${index}`, value: 'v'.repeat(100), removed: false})),
 	};
-	const server = new TableServer(table => table === 0 ? snapshot : undefined);
+	const server = new TableServer(table => table === 0 ? snapshot : undefined, memory);
 	const port = 18_400 + (process.pid % 1000);
 	await server.listen('127.0.0.1', port);
 	t.teardown(() => {
 		server.close();
 	});
 
-	t.deepEqual(await fetchTableSnapshot('127.0.0.1', port, 0), snapshot);
-	await t.throwsAsync(fetchTableSnapshot('127.0.0.1', port, 1), {name: 'TableTransferError'});
-	await t.throwsAsync(fetchTableSnapshot('127.0.0.1', port + 1, 0), {name: 'TableTransferError'});
+	t.deepEqual(await fetchTableSnapshot('127.0.0.1', port, 0, memory), snapshot);
+	await t.throwsAsync(fetchTableSnapshot('127.0.0.1', port, 1, memory), {name: 'TableTransferError'});
+	await t.throwsAsync(fetchTableSnapshot('127.0.0.1', port + 1, 0, memory), {name: 'TableTransferError'});
 });
 
 // Guards against loads that instances of the build before read wrongly: they take seven numbers per engine from the second element of a report.
--- a/src/peers/table-transfer.ts
+++ b/src/peers/table-transfer.ts
@@ -8,9 +8,14 @@
 import net from 'node:net';
 import {deflateRawSync, inflateRawSync} from 'node:zlib';
 import {Encoder} from 'cbor-x';
+import {ByteCollector} from '../memory/byte-collector.js';
+import type {MemoryBudget, MemoryReservation} from '../memory/memory-budget.js';
 import type {RowChange} from '../watch/row-source.js';
 import type {TableDigest} from '../watch/table-replica.js';
 
+/** What is kept of transfers counts as this part of the memory that the instance keeps for others, and has itself as its owner. */
+const memorySource = 'tables';
+
 /** Index of a table in messages between instances. */
 export type TableIndex = 0 | 1;
 
@@ -37,21 +42,34 @@
 	}
 }
 
+/** An encoded snapshot, which all connections share that are sent it. */
+type EncodedSnapshot = {digest: TableDigest; bytes: Uint8Array; reservation: MemoryReservation; /** Connections, and the server as long as it is the current one. */ users: number};
+
 /** Serves table snapshots to other instances. */
 export class TableServer {
 	readonly #server: net.Server;
-
-	/** @param getSnapshot - Returns the current snapshot of a table, or undefined if there is none. */
-	constructor(getSnapshot: (table: TableIndex) => TableSnapshot | undefined) {
+	readonly #getSnapshot: (table: TableIndex) => TableSnapshot | undefined;
+	readonly #memory: MemoryBudget;
+	readonly #current = new Map<TableIndex, EncodedSnapshot>();
+
+	/**
+	 * @param getSnapshot - Returns the current snapshot of a table, or undefined if there is none.
+	 * @param memory - Bounds what is kept for the peers.
+	 */
+	constructor(getSnapshot: (table: TableIndex) => TableSnapshot | undefined, memory: MemoryBudget) {
+		this.#getSnapshot = getSnapshot;
+		this.#memory = memory;
 		this.#server = net.createServer(socket => {
-			socket.setTimeout(transferTimeout, () => {
+			const timer = setTimeout(() => {
 				socket.destroy();
-			});
+			}, transferTimeout);
 			// The fetching instance sees the same failure and reports it.
 			socket.on('error', () => undefined);
+			socket.once('close', () => {
+				clearTimeout(timer);
+			});
 			socket.once('data', request => {
-				const snapshot = request[0] === 0 || request[0] === 1 ? getSnapshot(request[0]) : undefined;
-				socket.end(snapshot === undefined ? new Uint8Array(0) : encodeSnapshot(snapshot));
+				this.#send(socket, request[0] === 0 || request[0] === 1 ? request[0] : undefined);
 			});
 		});
 	}
@@ -66,17 +84,69 @@
 	close(): void {
 		this.#server.close();
 	}
+
+	#send(socket: net.Socket, table: TableIndex | undefined): void {
+		const snapshot = table === undefined ? undefined : this.#getSnapshot(table);
+		const encoded = table === undefined || snapshot === undefined ? undefined : this.#encode(table, snapshot);
+		if (encoded === undefined) {
+			socket.end();
+			return;
+		}
+
+		encoded.users += 1;
+		socket.once('close', () => {
+			leave(encoded);
+		});
+		socket.end(encoded.bytes);
+	}
+
+	/** Encodes each snapshot once: that of a large table takes long. @returns undefined if there is no memory for it. */
+	#encode(table: TableIndex, snapshot: TableSnapshot): EncodedSnapshot | undefined {
+		const current = this.#current.get(table);
+		if (current && isSameDigest(current.digest, snapshot.digest)) {
+			return current;
+		}
+
+		if (current) {
+			this.#current.delete(table);
+			leave(current);
+		}
+
+		const bytes = encodeSnapshot(snapshot);
+		const reservation = this.#memory.reserve({source: memorySource, owner: memorySource, bytes: bytes.length});
+		const encoded = reservation && {
+			digest: snapshot.digest, bytes, reservation, users: 1,
+		};
+		if (encoded) {
+			this.#current.set(table, encoded);
+		}
+
+		return encoded;
+	}
+}
+
+function leave(encoded: EncodedSnapshot): void {
+	encoded.users -= 1;
+	if (encoded.users === 0) {
+		encoded.reservation.release();
+	}
+}
+
+function isSameDigest(one: TableDigest, other: TableDigest): boolean {
+	return one.version === other.version && one.checksum === other.checksum && one.era === other.era;
 }
 
-/** Fetches the snapshot of a table from another instance. @throws {TableTransferError} */
-export async function fetchTableSnapshot(host: string, port: number, table: TableIndex): Promise<TableSnapshot> {
+/** Fetches the snapshot of a table from another instance. @param memory - Bounds what is received. @throws {TableTransferError} */
+export async function fetchTableSnapshot(host: string, port: number, table: TableIndex, memory: MemoryBudget): Promise<TableSnapshot> {
 	return new Promise((resolve, reject) => {
 		const socket = net.connect({host, port, noDelay: true});
-		const chunks: Uint8Array[] = [];
-		let size = 0;
+		const received = new ByteCollector();
+		const reservation = memory.reserve({source: memorySource, owner: memorySource, bytes: 0});
 		const fail = (reason: string) => {
 			clearTimeout(timer);
 			socket.destroy();
+			received.clear();
+			reservation?.release();
 			reject(new TableTransferError(host, reason));
 		};
 
@@ -90,16 +160,18 @@
 			socket.write(Uint8Array.of(table));
 		});
 		socket.on('data', chunk => {
-			chunks.push(chunk);
-			size += chunk.length;
-			if (size > maximumCompressedSize) {
+			received.append(chunk);
+			if (received.length > maximumCompressedSize) {
 				fail(`compressed table is larger than ${maximumCompressedSize} bytes`);
+			} else if (!reservation?.resize(received.length)) {
+				fail(`no memory for ${received.length} bytes of a table`);
 			}
 		});
 		socket.on('end', () => {
 			clearTimeout(timer);
 			try {
-				resolve(decodeSnapshot(Buffer.concat(chunks)));
+				resolve(decodeSnapshot(Buffer.from(received.take())));
+				reservation?.release();
 			} catch (error) {
 				fail(String(error));
 			}
--- a/src/serving/serving-instance.ts
+++ b/src/serving/serving-instance.ts
@@ -166,7 +166,7 @@
 		this.#tables = [configurationTable, engineTable];
 		this.#replication = new TableReplication({
 			tables: this.#tables, ip, log, peers: () => this.#peerMessenger.alivePeers,
-			fetchSnapshot: async (peer, table) => fetchTableSnapshot(peer, options.peerPort, table),
+			fetchSnapshot: async (peer, table) => fetchTableSnapshot(peer, options.peerPort, table, this.#memory),
 			onPeerOutage: () => {
 				this.#engines.onPeerOutage();
 			},
@@ -179,7 +179,7 @@
 			store, table: tables.instances, instance: options.instance, ip, log,
 			messenger: this.#peerMessenger, isServing: () => this.#shutdown.state === 'serving',
 		});
-		this.#tableServer = new TableServer(table => ({digest: this.#tables[table].replica.digest, rows: this.#tables[table].replica.rows}));
+		this.#tableServer = new TableServer(table => ({digest: this.#tables[table].replica.digest, rows: this.#tables[table].replica.rows}), this.#memory);
 		const placementCoordinator = new PlacementCoordinator({
 			engines: this.#engines, subsetting, loadTracker: this.#loadTracker, domainLoads: this.#domainLoads, engineHealth: this.#engineHealth, engineSpeed: this.#engineSpeed,
 			rateLimits: this.#rateLimits, pauses: this.#pauses,
--- a/src/watch/__tests__/evacuations.test.ts
+++ b/src/watch/__tests__/evacuations.test.ts
@@ -1,5 +1,6 @@
 import process from 'node:process';
 import test from 'ava';
+import {MemoryBudget} from '../../memory/memory-budget.js';
 import {decodeDatagram, emptyDatagram, encodeDatagram} from '../../peers/peer-datagram.js';
 import {fetchTableSnapshot, TableServer} from '../../peers/table-transfer.js';
 import {EventLog} from '../../telemetry/log.js';
@@ -7,6 +8,8 @@
 import {TableReplica} from '../table-replica.js';
 import type {RowChange} from '../row-source.js';
 
+const memory = new MemoryBudget({ceiling: 32 * 1_048_576});
+
 const decode = (key: string) => key.startsWith('evacuate/') ? key.slice('evacuate/'.length) : undefined;
 
 function row(key: string, value: string | undefined = 'e30='): RowChange {
@@ -101,10 +104,10 @@
 	{name: 'a delta', pass: sendDelta},
 	{
 		name: 'a copy of the table', async pass({replica}, peer) {
-			const server = new TableServer(() => ({digest: replica.digest, rows: replica.rows}));
+			const server = new TableServer(() => ({digest: replica.digest, rows: replica.rows}), memory);
 			const port = 19_400 + (process.pid % 1000);
 			await server.listen('127.0.0.1', port);
-			const {rows, digest} = await fetchTableSnapshot('127.0.0.1', port, 0);
+			const {rows, digest} = await fetchTableSnapshot('127.0.0.1', port, 0, memory);
 			server.close();
 			peer.replica.applySnapshot(rows, digest);
 		},
