--- a/src/serving/serving-instance.ts
+++ b/src/serving/serving-instance.ts
@@ -131,7 +131,7 @@
 			reachableShare: () => this.#peerMessenger.ring.length / (this.#peerMessenger.peerCount + 1),
 		});
 		this.#access = new EngineAccess({
-			ownIp: ip, failureDomain, regions, relayPort: options.relayPort, log, connectDirectly: options.connectDirectly,
+			ownIp: ip, failureDomain, regions, relayPort: options.relayPort, log, memory: this.#memory, connectDirectly: options.connectDirectly,
 			engine: id => this.#engines.get(id), readyEngines: () => this.#engines.allReady,
 			isAccepting: record => this.#engines.mayReceive(record) && this.#pauses.timeLeft(record.id, performance.now()) === 0,
 			peers: () => this.#peerMessenger.alivePeers,
@@ -167,7 +167,7 @@
 		this.#tables = [configurationTable, engineTable];
 		this.#replication = new TableReplication({
 			tables: this.#tables, ip, log, peers: () => this.#peerMessenger.alivePeers,
-			fetchSnapshot: async (peer, table) => fetchTableSnapshot(peer, options.peerPort, table),
+			fetchSnapshot: async (peer, table) => fetchTableSnapshot(peer, options.peerPort, table, this.#memory),
 			onPeerOutage: () => {
 				this.#engines.onPeerOutage();
 			},
@@ -180,7 +180,7 @@
 			store, table: tables.instances, instance: options.instance, ip, log,
 			messenger: this.#peerMessenger, isServing: () => this.#shutdown.state === 'serving',
 		});
-		this.#tableServer = new TableServer(table => ({digest: this.#tables[table].replica.digest, rows: this.#tables[table].replica.rows}));
+		this.#tableServer = new TableServer(table => ({digest: this.#tables[table].replica.digest, rows: this.#tables[table].replica.rows}), this.#memory);
 		const placementCoordinator = new PlacementCoordinator({
 			engines: this.#engines, subsetting, loadTracker: this.#loadTracker, domainLoads: this.#domainLoads, engineHealth: this.#engineHealth, engineSpeed: this.#engineSpeed,
 			rateLimits: this.#rateLimits, pauses: this.#pauses,
