--- a/soak/instances.ts
+++ b/soak/instances.ts
@@ -125,7 +125,7 @@
 	async start(store: number, seeds: readonly string[]): Promise<void> {
 		this.settingsText = JSON.stringify(instanceSettingsDocument({
 			name: this.name, ip: this.ip, ports, storePort: store, seeds, gracePeriod, failureDomain: this.#failureDomain, limits: this.#limits,
-			memoryLimit: this.#isDeployed ? memoryLimit : undefined,
+			memoryMegabytes: this.#isDeployed ? memoryLimit : undefined,
 		}));
 		await writeFile(this.settingsPath, this.settingsText);
 		this.#spawn();
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -112,7 +112,7 @@
 		this.#poisonCallers = new PoisonCallers(options.seed);
 		this.#traffic = options.isPlanned ? plannedTraffic : usualTraffic;
 		this.#operator = new Operator(this.#store, this.#traffic.requestTimeout, {
-			hasRanks: options.hasRanks, coldStart: options.hasColdEngines ? coldStart : undefined, ...(options.hasFloods && {bodyLimit, hasFloodCustomer: true}),
+			hasRanks: options.hasRanks, coldStart: options.hasColdEngines ? coldStart : undefined, ...(options.hasFloods && {maximumBodyBytes: bodyLimit, hasFloodCustomer: true}),
 		});
 		this.#engines = new Engines({
 			store: this.#store, traffic: this.#traffic, crashing: this.#poisonCallers, coldness: options.hasColdEngines ? {duration: coldStart.duration, limit: coldLimit} : undefined,
--- a/src/serving/serving-instance.ts
+++ b/src/serving/serving-instance.ts
@@ -212,7 +212,7 @@
 			},
 		});
 		this.#admission = new Admission({
-			...admissionState, protocol, chooser, answerDurations, quarantine: this.#quarantine, metrics: this.#metrics, log,
+			...admissionState, protocol, chooser, answerDurations, quarantine: this.#quarantine, memory: this.#memory, metrics: this.#metrics, log,
 			retryBudget: new RetryBudget({
 				ratio: bounds.retryRatio, window: bounds.retryWindow, allowance: bounds.retryAllowance, fleet: () => this.#peerMessenger.fleet,
 			}),
@@ -224,6 +224,11 @@
 		this.#registerGauges(placementCoordinator);
 	}
 
+	/** Memory that this instance keeps for others. */
+	get memory(): MemoryBudget {
+		return this.#memory;
+	}
+
 	/** Whether this instance accepts new connections. */
 	get isReady(): boolean {
 		return this.#shutdown.state === 'serving' && this.#configuration.routes !== undefined && this.#engines.size > 0;
--- a/src/telemetry/line-writer.ts
+++ b/src/telemetry/line-writer.ts
@@ -8,6 +8,7 @@
  */
 import {Buffer} from 'node:buffer';
 import fs from 'node:fs';
+import process from 'node:process';
 
 /** Time in milliseconds for which lines are buffered before a write. */
 const flushDelay = 100;
@@ -33,9 +34,29 @@
 	};
 }
 
+/** Makes a pipe or socket that is standard output non-blocking: a process cannot exit while one of its writes blocks. */
+export function stopBlockingOnStandardOutput(): void {
+	// The runtime makes them non-blocking when it opens its own stream, which this does. A reader that is gone ends nothing.
+	process.stdout.on('error', () => undefined);
+}
+
+/** Returns a function that writes to a file descriptor at once. A pipe has to be non-blocking; what it does not take is lost. */
+export function fileDescriptorWriter(descriptor: number): (bytes: Uint8Array) => void {
+	return bytes => {
+		try {
+			for (let written = 0; written < bytes.length;) {
+				written += fs.writeSync(descriptor, bytes, written);
+			}
+		} catch {
+			// The reader is gone or does not keep up, and there is nowhere else to tell.
+		}
+	};
+}
+
 /** Buffers lines and writes them asynchronously in batches. */
 export class LineWriter {
 	readonly #sink: ByteSink;
+	readonly #writeAtOnce: (bytes: Uint8Array) => void;
 	#lines: string[] = [];
 	#pendingBytes = 0;
 	#unwrittenBatch: Uint8Array | undefined;
@@ -46,8 +67,10 @@
 	#currentSecond = 0;
 	#linesInCurrentSecond = 0;
 
-	constructor(sink: ByteSink) {
+	/** @param writeAtOnce - Writes bytes without waiting, as far as they are taken. */
+	constructor(sink: ByteSink, writeAtOnce: (bytes: Uint8Array) => void = () => undefined) {
 		this.#sink = sink;
+		this.#writeAtOnce = writeAtOnce;
 	}
 
 	/** Number of lines dropped since the last `log.dropped` line was written. */
@@ -78,6 +101,18 @@
 		}
 	}
 
+	/**
+	 * Writes what is pending and one last line at once, when the process ends. What a full pipe does not take is lost; a batch
+	 * whose write is in progress is left to that.
+	 */
+	writeLast(line: string): void {
+		const unwritten = this.#isWriting || this.#unwrittenBatch === undefined ? new Uint8Array(0) : this.#unwrittenBatch;
+		const bytes = Buffer.concat([unwritten, Buffer.from(`${[...this.#lines, line].join('\n')}\n`)]);
+		this.#unwrittenBatch = undefined;
+		this.#lines = [];
+		this.#writeAtOnce(bytes);
+	}
+
 	#canAccept(line: string, isFailure: boolean): boolean {
 		const second = Math.floor(performance.now() / 1000);
 		if (second !== this.#currentSecond) {
