--- a/soak/caller-floods.ts
+++ b/soak/caller-floods.ts
@@ -12,7 +12,7 @@
 import {ports} from './ports.js';
 
 /** Largest body of a request in bytes, by the configuration of runs with floods. */
-export const bodyLimit = 4_194_304;
+export const maximumBodyBytes = 4_194_304;
 
 const pieceSize = 65_536;
 const piece = Buffer.alloc(pieceSize, 'x');
@@ -91,9 +91,9 @@
 		const streams = () => Array.from({length: unreadRequests}, () => `${this.#head('POST', `${routePrefixes.stream}${unreadEvents}`, ['Content-Length: 4', ...promptFields])}body`).join('');
 		const writers: Readonly<Record<CallerFlood, () => Writer>> = {
 			pipelined: () => ({start: '', nextPiece: pipelined}),
-			'unfinished-bodies': () => ({start: this.#head('POST', `${routePrefixes.nonIdempotent}x`, [`Content-Length: ${bodyLimit}`]), nextPiece: bodyPieces(bodyLimit - 1)}),
+			'unfinished-bodies': () => ({start: this.#head('POST', `${routePrefixes.nonIdempotent}x`, [`Content-Length: ${maximumBodyBytes}`]), nextPiece: bodyPieces(maximumBodyBytes - 1)}),
 			'chunked-bodies': () => ({start: this.#head('POST', `${routePrefixes.nonIdempotent}x`, ['Transfer-Encoding: chunked']), nextPiece: () => smallChunks}),
-			'whole-bodies': () => ({start: this.#head('POST', `${routePrefixes.stream}x`, [`Content-Length: ${bodyLimit}`, ...promptFields]), nextPiece: bodyPieces(bodyLimit)}),
+			'whole-bodies': () => ({start: this.#head('POST', `${routePrefixes.stream}x`, [`Content-Length: ${maximumBodyBytes}`, ...promptFields]), nextPiece: bodyPieces(maximumBodyBytes)}),
 			'endless-heads': () => ({start: `GET ${routePrefixes.idempotent}x HTTP/1.1\r\nHost: ${callerHost}\r\nX-Long: `, nextPiece: () => headPiece}),
 			'idle-connections': () => ({start: '', nextPiece: nothing}),
 			'unread-answers': () => ({start: streams(), nextPiece: nothing}),
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -27,7 +27,7 @@
 import {
 	type ColdCause, domainCount, domainOf, type Fault, isOddInput, isPlanned,
 } from './faults.js';
-import {bodyLimit} from './caller-floods.js';
+import {maximumBodyBytes} from './caller-floods.js';
 import {type FloodFault, isFloodFault} from './flood-faults.js';
 import {type FloodFigures, Floods} from './floods.js';
 import {type DrawOptions, drawRun} from './draws.js';
@@ -112,7 +112,7 @@
 		this.#poisonCallers = new PoisonCallers(options.seed);
 		this.#traffic = options.isPlanned ? plannedTraffic : usualTraffic;
 		this.#operator = new Operator(this.#store, this.#traffic.requestTimeout, {
-			hasRanks: options.hasRanks, coldStart: options.hasColdEngines ? coldStart : undefined, ...(options.hasFloods && {maximumBodyBytes: bodyLimit, hasFloodCustomer: true}),
+			hasRanks: options.hasRanks, coldStart: options.hasColdEngines ? coldStart : undefined, ...(options.hasFloods && {maximumBodyBytes, hasFloodCustomer: true}),
 		});
 		this.#engines = new Engines({
 			store: this.#store, traffic: this.#traffic, crashing: this.#poisonCallers, coldness: options.hasColdEngines ? {duration: coldStart.duration, limit: coldLimit} : undefined,
