--- a/src/peers/__tests__/table-transfer.test.ts
+++ b/src/peers/__tests__/table-transfer.test.ts
@@ -3,9 +3,11 @@
 import process from 'node:process';
 import test from 'ava';
 import {MemoryBudget} from '../../memory/memory-budget.js';
+import {EventLog} from '../../telemetry/log.js';
 import {fetchTableSnapshot, type TableSnapshot, TableServer} from '../table-transfer.js';
 
 const port = 19_400 + (process.pid % 1000);
+const log = new EventLog({write: () => undefined});
 const rows = Array.from({length: 2000}, (_, index) => ({key: `route-${index}`, value: String(Math.sin(index)), removed: false}));
 
 // Guards against a process that encodes a table, or keeps a copy of it, for each of the peers that fetch it together.
@@ -13,7 +15,7 @@
 	const memory = new MemoryBudget({ceiling: 1_000_000});
 	let snapshot: TableSnapshot = {digest: {era: 0, version: 1, checksum: 1}, rows};
 	const server = new TableServer(() => snapshot, memory);
-	await server.listen('127.0.0.1', port);
+	await server.listen('127.0.0.1', port, log);
 	t.teardown(() => {
 		server.close();
 	});
@@ -41,7 +43,7 @@
 	const large = new MemoryBudget({ceiling: 1_000_000});
 	for (const [index, [sending, receiving]] of [[small, large], [large, small]].entries()) {
 		const server = new TableServer(() => ({digest: {era: 0, version: 1, checksum: 1}, rows}), sending!);
-		await server.listen('127.0.0.2', port + index); // eslint-disable-line no-await-in-loop
+		await server.listen('127.0.0.2', port + index, log); // eslint-disable-line no-await-in-loop
 		t.teardown(() => {
 			server.close();
 		});
