--- a/soak/instances.ts
+++ b/soak/instances.ts
@@ -194,8 +194,11 @@
 		});
 		const startedAt = performance.now();
 		const log = createWriteStream(path.join(this.#folder, `${this.name}.log`), {flags: 'a'});
-		child.stdout.pipe(log);
-		child.stderr.pipe(log);
+		child.stdout.pipe(log, {end: false});
+		child.stderr.pipe(log, {end: false});
+		child.once('close', () => {
+			log.end();
+		});
 		let tail = '';
 		const keepTail = (bytes: Uint8Array) => {
 			const lines = `${tail}${new TextDecoder().decode(bytes)}`.split('\n');
