--- a/src/commands/front.ts
+++ b/src/commands/front.ts
@@ -76,6 +76,10 @@
 		process.exit(exitCodes.success); // eslint-disable-line unicorn/no-process-exit
 	};
 
+	// Without a listener the runtime opens a debugger, which runs code for any process of the machine.
+	process.on('SIGUSR1', signal => {
+		log.warn('instance.signal-ignored', {signal});
+	});
 	process.on('SIGTERM', signal => {
 		void stop(signal);
 	});
