--- a/src/serving/serving-instance.ts
+++ b/src/serving/serving-instance.ts
@@ -218,10 +218,10 @@
 				ratio: bounds.retryRatio, window: bounds.retryWindow, allowance: bounds.retryAllowance, fleet: () => this.#peerMessenger.fleet,
 			}),
 		});
-		this.#listener = new CallerListener((request, response) => {
+		this.#listener = new CallerListener((request, response, hasMemory) => {
 			eventLoop.recordTurn();
-			void this.#admission.handle(request, response);
-		});
+			void this.#admission.handle(request, response, hasMemory);
+		}, this.#memory);
 		this.#ports = new InstancePorts({
 			...options, isReady: () => this.isReady, tableServer: this.#tableServer, relay: this.#access, peerMessenger: this.#peerMessenger, callerListener: this.#listener,
 			answerOperator: (request, response) => {
