fix(serving): requests, bodies and unread answers of callers stay within the memory budget

What callers saw: an instance that ran out of memory beside others' floods, and with it their own requests.

Cause: requests in progress of one connection, bodies of all requests and complete answers that nobody reads had no bound over all connections. In addition, a connection's last request kept its body, through listeners, after the request had ended.

Bodies are reserved as they arrive, refused on the head where the announced size cannot fit, and given up with 3002 until the request is first passed on. Unread answers from 16 KiB on are counted, also behind others on a connection.

--- a/src/memory/byte-collector.ts
+++ b/src/memory/byte-collector.ts
@@ -5,75 +5,83 @@
  */
 import {Buffer} from 'node:buffer';
 
-/** Size in bytes of the first block; each further one doubles what is kept, up to the greatest size. */
-const firstBlockBytes = 1024;
-const maximumBlockBytes = 262_144;
+/** Size in bytes of the blocks into which small chunks are copied. */
+const blockBytes = 16_384;
 
-/**
- * Bytes that are kept in blocks. A chunk is copied, so that a chunk of one byte takes one byte, and the buffer into which
- * it was read is free.
- */
+/** Least size in bytes of a chunk that is kept as it is; a buffer object takes some hundred bytes in addition. */
+const minimumKeptChunk = 4096;
+
+/** Bytes in pieces: large chunks as they arrive, small ones copied into blocks, so that a chunk of one byte takes one byte. */
 export class ByteCollector {
-	readonly #expected: number | undefined;
-	#blocks: Uint8Array[] = [];
-	/** Bytes in the last block that are in use. */
+	#pieces: Uint8Array[] = [];
+	/** Last block, and the number of its bytes that are in use; empty where the last piece is a chunk. */
+	#block: Uint8Array = new Uint8Array(0);
 	#used = 0;
 	#length = 0;
 
-	/** @param expected - Number of bytes that have been announced; undefined where none are known. */
-	constructor(expected?: number) {
-		this.#expected = expected;
-	}
-
 	/** Number of bytes collected. */
 	get length(): number {
 		return this.#length;
 	}
 
 	append(chunk: Uint8Array): void {
-		let position = 0;
-		while (position < chunk.length) {
-			let block = this.#blocks.at(-1);
-			if (block === undefined || this.#used === block.length) {
-				block = Buffer.allocUnsafeSlow(this.#nextBlockSize(chunk.length - position));
-				this.#blocks.push(block);
-				this.#used = 0;
+		this.#length += chunk.length;
+		// A part of a larger buffer would keep all of it.
+		if (chunk.length >= minimumKeptChunk && chunk.length === chunk.buffer.byteLength) {
+			this.#endBlock();
+			this.#pieces.push(chunk);
+			return;
+		}
+
+		for (let position = 0; position < chunk.length;) {
+			if (this.#used === this.#block.length) {
+				this.#endBlock();
+				this.#block = Buffer.allocUnsafeSlow(blockBytes);
 			}
 
-			const count = Math.min(chunk.length - position, block.length - this.#used);
-			block.set(chunk.subarray(position, position + count), this.#used);
-			this.#used += count;
-			position += count;
-			this.#length += count;
+			const part = chunk.subarray(position, position + this.#block.length - this.#used);
+			this.#block.set(part, this.#used);
+			this.#used += part.length;
+			position += part.length;
 		}
 	}
 
-	/** Returns all bytes and keeps none. Those of an announced number are not copied. */
+	/** Returns all bytes and keeps none. */
 	take(): Uint8Array {
-		const blocks = this.#blocks;
-		const last = blocks.pop()?.subarray(0, this.#used);
+		this.#endBlock();
+		const pieces = this.#pieces;
 		const length = this.#length;
 		this.clear();
-		if (last === undefined) {
-			return Buffer.alloc(0);
+		if (pieces.length === 1) {
+			return pieces[0]!;
+		}
+
+		// Not from the pool, of which a part would keep the whole.
+		const bytes = Buffer.allocUnsafeSlow(length);
+		let position = 0;
+		for (const piece of pieces) {
+			bytes.set(piece, position);
+			position += piece.length;
 		}
 
-		return blocks.length === 0 ? last : Buffer.concat([...blocks, last], length);
+		return bytes;
 	}
 
 	/** Forgets all bytes. */
 	clear(): void {
-		this.#blocks = [];
+		this.#pieces = [];
+		this.#block = new Uint8Array(0);
 		this.#used = 0;
 		this.#length = 0;
 	}
 
-	/** Pages of a block that nothing was written to are not resident, so that an announced size costs nothing before it arrives. */
-	#nextBlockSize(missing: number): number {
-		if (this.#length === 0 && this.#expected !== undefined) {
-			return Math.max(this.#expected, missing);
+	/** Ends the last block, whose unused rest is freed. */
+	#endBlock(): void {
+		if (this.#used > 0) {
+			this.#pieces.push(this.#used === this.#block.length ? this.#block : new Uint8Array(this.#block.subarray(0, this.#used)));
 		}
 
-		return Math.max(missing, Math.min(maximumBlockBytes, Math.max(firstBlockBytes, this.#length)));
+		this.#block = new Uint8Array(0);
+		this.#used = 0;
 	}
 }
--- a/src/memory/memory-budget.ts
+++ b/src/memory/memory-budget.ts
@@ -90,6 +90,26 @@
 		return this.#total + bytes <= this.#limits.ceiling && this.usedBy(source) + bytes <= this.limitOf(source);
 	}
 
+	/** Whether some bytes could be reserved now, if everything gave way that would. Changes nothing. */
+	canReserve({source, owner, bytes}: Pick<MemoryClaim, 'source' | 'owner' | 'bytes'>): boolean {
+		const asking = new Reservation({source, owner, giveUp: undefined}, this.#resize, this.#release);
+		let missing = Math.max(this.#total + bytes - this.#limits.ceiling, this.usedBy(source) + bytes - this.limitOf(source));
+		if (missing <= 0) {
+			return true;
+		}
+
+		for (const candidate of this.#ledger) {
+			if (this.#givesWay(candidate, asking, bytes)) {
+				missing -= candidate.bytes;
+				if (missing <= 0) {
+					return true;
+				}
+			}
+		}
+
+		return false;
+	}
+
 	/**
 	 * Reserves memory. Where there is no room, the largest reservation that can be given up of the owner who uses most is
 	 * given up, as long as that owner uses more than this one, or the reservation is the larger one of the same owner.
@@ -150,15 +170,9 @@
 
 	/** What gives way to a reservation that needs some bytes; undefined if nothing does. */
 	#findVictim(reservation: Reservation, bytes: number): Reservation | undefined {
-		const own = (this.#byOwner.get(reservation.owner) ?? 0) + bytes - reservation.bytes;
-		const isSourceFull = this.usedBy(reservation.source) + bytes - reservation.bytes > this.limitOf(reservation.source);
 		let victim: Reservation | undefined;
 		for (const candidate of this.#ledger) {
-			const isSameOwner = candidate.owner === reservation.owner;
-			const givesWay = candidate !== reservation && candidate.canGiveUp && candidate.bytes > 0
-				&& (!isSourceFull || candidate.source === reservation.source)
-				&& (isSameOwner ? candidate.bytes > bytes : (this.#byOwner.get(candidate.owner) ?? 0) > own);
-			if (givesWay && (victim === undefined || this.#isBefore(candidate, victim))) {
+			if (this.#givesWay(candidate, reservation, bytes) && (victim === undefined || this.#isBefore(candidate, victim))) {
 				victim = candidate;
 			}
 		}
@@ -166,6 +180,23 @@
 		return victim;
 	}
 
+	/** Whether a reservation gives way to another one that needs some bytes. */
+	#givesWay(candidate: Reservation, reservation: Reservation, bytes: number): boolean {
+		if (candidate === reservation || !candidate.canGiveUp || candidate.bytes === 0) {
+			return false;
+		}
+
+		const growth = bytes - reservation.bytes;
+		const isSourceFull = this.usedBy(reservation.source) + growth > this.limitOf(reservation.source);
+		if (isSourceFull && candidate.source !== reservation.source) {
+			return false;
+		}
+
+		return candidate.owner === reservation.owner
+			? candidate.bytes > bytes
+			: (this.#byOwner.get(candidate.owner) ?? 0) > (this.#byOwner.get(reservation.owner) ?? 0) + growth;
+	}
+
 	/** Whether one reservation gives way before another: by its owner's use, then by its own size. */
 	#isBefore(one: Reservation, other: Reservation): boolean {
 		const difference = (this.#byOwner.get(one.owner) ?? 0) - (this.#byOwner.get(other.owner) ?? 0);
--- a/src/memory/memory-limits.ts
+++ b/src/memory/memory-limits.ts
@@ -17,6 +17,9 @@
 /** Share of the ceiling for answers that are held until they are complete, and for answers that callers have not read. */
 const answerShare = 0.5;
 
+/** Share of the ceiling for bodies of requests, which are copied once when they are complete. */
+const bodyShare = 0.6;
+
 /** Share of the ceiling for bytes relayed to and from engines, and for copies of tables. */
 const transferShare = 0.25;
 
@@ -39,6 +42,7 @@
 		ceiling,
 		sources: {
 			'request-heads': Math.floor(Math.max(0, heapLimit - heapAtStart) * headShare),
+			'request-bodies': Math.floor(ceiling * bodyShare),
 			'buffered-answers': Math.floor(ceiling * answerShare),
 			'unread-answers': Math.floor(ceiling * answerShare),
 			'relayed-bytes': Math.floor(ceiling * transferShare),
--- a/src/serving/__tests__/admission.test.ts
+++ b/src/serving/__tests__/admission.test.ts
@@ -1,6 +1,7 @@
 import http from 'node:http';
 import type {AddressInfo} from 'node:net';
 import test, {type ExecutionContext} from 'ava';
+import {MemoryBudget} from '../../memory/memory-budget.js';
 import {EventLog} from '../../telemetry/log.js';
 import {Admission, type AdmissionOptions} from '../admission.js';
 import type {RequestHeaderValues, Route, ServingConfiguration} from '../model.js';
@@ -21,6 +22,7 @@
 	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
 	const options = {
 		routes: () => new RouteTable(configuration), state: () => 'serving', protocol: {parseRequestHeaders}, metrics: {recordRejection: () => undefined},
+		memory: new MemoryBudget({ceiling: 1_000_000}),
 		log: new EventLog({
 			write(line) {
 				events.push(line);
--- a/src/serving/admission.ts
+++ b/src/serving/admission.ts
@@ -3,12 +3,12 @@
  *
  * @module
  */
-import {Buffer} from 'node:buffer';
 import type http from 'node:http';
 import {performance} from 'node:perf_hooks';
 import {onceClosed} from '../entry/connection-end.js';
-import {errorCatalogue, type ErrorCode} from '../errors/catalogue.js';
+import {errorCatalogue} from '../errors/catalogue.js';
 import {errorMessage} from '../errors/errors.js';
+import type {MemoryBudget} from '../memory/memory-budget.js';
 import {CallerRequestFingerprints} from '../quarantine/request-fingerprint.js';
 import {RequestGuard} from '../quarantine/request-guard.js';
 import type {RequestQuarantine} from '../quarantine/request-quarantine.js';
@@ -23,6 +23,7 @@
 import type {
 	CustomerKeys, RequestHeaderValues, RequestProtocol, Route, Service,
 } from './model.js';
+import {describeUnfitBody, type Rejection, RequestBody} from './request-body.js';
 import {ResponseBuffers} from './response-buffers.js';
 import type {RetryBudget} from './retry-budget.js';
 import type {RouteTable} from './route-table.js';
@@ -42,6 +43,8 @@
 	retryBudget: RetryBudget;
 	quarantine: RequestQuarantine;
 	metrics: ServingMetrics;
+	/** Bounds what requests keep. */
+	memory: MemoryBudget;
 	log: EventLog;
 	/** @default Math.random */
 	random?: () => number;
@@ -55,12 +58,20 @@
 	customer: CustomerKeys | undefined;
 };
 
+/** A request whose head was received. */
+type ReceivedHead = {
+	request: http.IncomingMessage;
+	/** Undefined if it has none. */
+	body: RequestBody | undefined;
+	/** In the memory budget. */
+	owner: string;
+	headerValues: RequestHeaderValues;
+	arrivedAt: number;
+};
+
 /** How many requests the end of this process has ended that were passed on, and how many of them it had accepted during its shutdown. */
 export type AbandonedRequests = {abandoned: number; acceptedInStop: number};
 
-/** Why a request is answered without being forwarded. */
-type Rejection = {code: ErrorCode; reason: string};
-
 /** A response that has not closed. */
 type OpenResponse = {readonly response: http.ServerResponse; requestId: string | undefined};
 
@@ -69,6 +80,11 @@
 
 const shuttingDown: Rejection = {code: '3006', reason: shutdownReason};
 
+const noMemory: Rejection = {code: '3002', reason: 'this instance has no memory for more requests'};
+
+/** Owner in the memory budget of what requests without a customer keep. */
+const anonymousOwner = 'anonymous';
+
 /** Admits or rejects the requests of callers. */
 export class Admission {
 	readonly #options: AdmissionOptions;
@@ -78,7 +94,7 @@
 	/** Requests that were passed on and have not ended, with the state of this instance at their acceptance. */
 	readonly #forwardedRequests = new Map<ForwardedRequest, ServingState>();
 	/** Functions that reject the requests whose bodies have not been received. */
-	readonly #bodyRejections = new Set<() => void>();
+	readonly #bodyRejections = new Set<(rejection: Rejection) => void>();
 	readonly #openResponses = new Set<OpenResponse>();
 
 	constructor(options: AdmissionOptions) {
@@ -95,7 +111,7 @@
 	async abandonRequests(): Promise<AbandonedRequests> {
 		const isAnswering = this.#openResponses.size > 0;
 		for (const rejectBody of this.#bodyRejections) {
-			rejectBody();
+			rejectBody(shuttingDown);
 		}
 
 		const abandoned = [...this.#forwardedRequests];
@@ -112,8 +128,8 @@
 		return {abandoned: abandoned.length, acceptedInStop: abandoned.filter(([, state]) => state !== 'serving').length};
 	}
 
-	/** Handles one request until its response has ended. */
-	async handle(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+	/** Handles one request until its response has ended. @param hasMemory - Whether there is memory for it; it is refused otherwise. */
+	async handle(request: http.IncomingMessage, response: http.ServerResponse, hasMemory = true): Promise<void> {
 		if (!this.#connections.accept(request)) {
 			request.resume();
 			return;
@@ -131,23 +147,30 @@
 			closing.abort();
 		});
 		let answer: CallerResponse | undefined;
+		let body: RequestBody | undefined;
+		let owner = anonymousOwner;
 		try {
 			const headerValues = this.#options.protocol.parseRequestHeaders(request.headers);
 			const {requestId} = headerValues;
 			open.requestId = requestId;
 			answer = new CallerResponse(response, requestId, () => this.#connections.closesAfter(request, this.#options.state() !== 'serving'), () => {
 				this.#connections.recordCut(request);
-			});
-			const admission = this.#admit(request, headerValues);
+			}, {memory: this.#options.memory, owner: () => owner});
+			const admission = hasMemory ? this.#admit(request, headerValues) : noMemory;
 			if ('code' in admission) {
 				this.#reject(answer, headerValues, request, admission);
 				return;
 			}
 
+			owner = admission.customer?.name ?? anonymousOwner;
+
 			const earlierStreamsSent = this.#connections.addResponse(request, response, admission.route.kind === 'stream');
-			const body = await this.#readBody(request, admission, headerValues, arrivedAt);
-			if (body !== undefined && 'code' in body) {
-				this.#reject(answer, headerValues, request, body);
+			body = hasBody(request) ? new RequestBody(this.#options.memory, owner) : undefined;
+			const content = await this.#readBody({
+				request, body, owner, headerValues, arrivedAt,
+			}, admission);
+			if (content !== undefined && 'code' in content) {
+				this.#reject(answer, headerValues, request, content);
 				return;
 			}
 
@@ -158,11 +181,13 @@
 			}
 
 			await this.#forward({
-				request, response, answer, headerValues, arrivedAt, earlierStreamsSent, closed: closing.signal,
-			}, admission, body);
+				request, response, answer, headerValues, arrivedAt, earlierStreamsSent, closed: closing.signal, body,
+			}, admission, content);
 		} catch (error) {
 			this.#options.log.error('request.unexpected', {request: open.requestId, reason: errorMessage(error)});
 			(answer ?? response).destroy();
+		} finally {
+			body?.release();
 		}
 	}
 
@@ -215,78 +240,49 @@
 	}
 
 	/** Receives the whole body. @returns undefined if the request has none. */
-	async #readBody(request: http.IncomingMessage, {routes, route}: AdmittedRequest, headerValues: RequestHeaderValues, arrivedAt: number): Promise<Uint8Array | undefined | Rejection> {
-		const {maximumBodyBytes} = routes.configuration.limits;
-		if (Number(request.headers['content-length'] ?? 0) > maximumBodyBytes) {
-			return {code: '1003', reason: `body of ${request.headers['content-length']} bytes exceeds the limit of ${maximumBodyBytes} bytes`};
-		}
-
-		const hasBody = request.headers['content-length'] !== undefined || request.headers['transfer-encoding'] !== undefined;
-		if (!hasBody) {
+	async #readBody({request, body, owner, headerValues, arrivedAt}: ReceivedHead, {routes, route}: AdmittedRequest): Promise<Uint8Array | undefined | Rejection> {
+		if (body === undefined) {
 			request.resume();
 			return undefined;
 		}
 
-		const timeout = Math.min(route.timeout, headerValues.timeout ?? route.timeout) - (performance.now() - arrivedAt);
-		return new Promise(resolve => {
-			const chunks: Uint8Array[] = [];
-			let size = 0;
-			const settle = (outcome: Uint8Array | Rejection) => {
-				clearTimeout(timer);
-				this.#bodyRejections.delete(rejectBody);
-				request.off('data', receive);
-				resolve(outcome);
-			};
-
-			const rejectBody = () => {
-				settle(shuttingDown);
-			};
-
-			const receive = (chunk: Uint8Array) => {
-				chunks.push(chunk);
-				size += chunk.length;
-				if (size > maximumBodyBytes) {
-					settle({code: '1003', reason: `body exceeds the limit of ${maximumBodyBytes} bytes`});
-				}
-			};
-
-			const timer = setTimeout(() => {
-				settle({code: '1012', reason: 'the body was not received within the timeout of the request'});
-			}, Math.max(0, timeout));
-			this.#bodyRejections.add(rejectBody);
-			request.on('data', receive);
-			request.once('end', () => {
-				settle(Buffer.concat(chunks));
-			});
-			request.once('error', error => {
-				settle({code: '1012', reason: `receiving the body failed: ${error.message}`});
-			});
-		});
+		const {maximumBodyBytes} = routes.configuration.limits;
+		const announced = announcedLength(request) ?? 0;
+		if (announced > maximumBodyBytes) {
+			return {code: '1003', reason: `body of ${announced} bytes exceeds the limit of ${maximumBodyBytes} bytes`};
+		}
+
+		return describeUnfitBody(this.#options.memory, owner, announced) ?? body.receive(request, {
+			maximumBytes: maximumBodyBytes,
+			timeout: Math.min(route.timeout, headerValues.timeout ?? route.timeout) - (performance.now() - arrivedAt),
+		}, this.#bodyRejections);
 	}
 
 	async #forward(
-		{request, response, answer, headerValues, arrivedAt, earlierStreamsSent, closed}: {
+		{request, response, answer, headerValues, arrivedAt, earlierStreamsSent, closed, body}: {
 			request: http.IncomingMessage; response: http.ServerResponse; answer: CallerResponse; headerValues: RequestHeaderValues; arrivedAt: number;
-			earlierStreamsSent: Promise<void> | undefined; closed: AbortSignal;
+			earlierStreamsSent: Promise<void> | undefined; closed: AbortSignal; body: RequestBody | undefined;
 		},
 		{routes, route, service, customer}: AdmittedRequest,
-		body: Uint8Array | undefined,
+		content: Uint8Array | undefined,
 	): Promise<void> {
 		const {timeUntilAbandoned, protocol, chooser, answerDurations, retryBudget, quarantine, metrics, log} = this.#options;
 		const path = request.url ?? '/';
 		const fingerprints = new CallerRequestFingerprints({
-			path, customer: customer?.name, body, headerValues,
+			path, customer: customer?.name, body: content, headerValues,
 		});
 		const startSignal = earlierStreamsSent?.then(() => {
 			if (this.#options.state() === 'closing') {
-				forwarded.abandon();
+				current?.abandon();
 			}
 		});
+		// Listeners that outlive the request keep neither it nor its body.
+		let current: ForwardedRequest | undefined;
 		const forwarded = new ForwardedRequest({
 			method: request.method ?? 'GET',
 			path,
 			rawHeaders: request.rawHeaders,
-			body,
+			body: content,
 			headerValues,
 			route,
 			service,
@@ -305,12 +301,16 @@
 			metrics,
 			log,
 			configurationVersion: routes.version,
+			onPassOn() {
+				body?.pin();
+			},
 		});
+		current = forwarded;
 		closed.addEventListener('abort', () => {
 			if (this.#connections.isCut(request)) {
-				forwarded.loseConnection();
+				current?.loseConnection();
 			} else if (!response.writableFinished) {
-				forwarded.cancel();
+				current?.cancel();
 			}
 		});
 		if (closed.aborted) {
@@ -319,9 +319,13 @@
 		}
 
 		this.#forwardedRequests.set(forwarded, this.#options.state());
+		body?.onGiveUp(({reason}) => {
+			current?.giveUp({code: '3002', reason, retryAfter: errorCatalogue[3002].retryAfter!}, {code: '4003', reason});
+		});
 		try {
 			await forwarded.run();
 		} finally {
+			current = undefined;
 			this.#forwardedRequests.delete(forwarded);
 		}
 	}
@@ -341,3 +345,11 @@
 		request.resume();
 	}
 }
+
+function hasBody({headers}: http.IncomingMessage): boolean {
+	return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+}
+
+function announcedLength({headers}: http.IncomingMessage): number | undefined {
+	return headers['content-length'] === undefined ? undefined : Number(headers['content-length']);
+}
--- a/src/serving/caller-listener.ts
+++ b/src/serving/caller-listener.ts
@@ -5,8 +5,10 @@
  */
 import http from 'node:http';
 import type {Socket} from 'node:net';
+import type {MemoryBudget} from '../memory/memory-budget.js';
 import {LingeringConnections} from './lingering-connections.js';
 import type {CallerLimits} from './model.js';
+import {maximumOutstanding, OutstandingRequests} from './outstanding-requests.js';
 
 /** Greatest size in bytes of a request's headers; a little above the deployments' limit of 16 KiB. */
 const maximumHeaderBytes = 24_576;
@@ -20,8 +22,8 @@
 /** Length of the queue of connections that are not yet accepted. */
 const backlog = 1024;
 
-/** Handles one request of a caller. */
-export type RequestHandler = (request: http.IncomingMessage, response: http.ServerResponse) => void;
+/** Handles one request of a caller. @param hasMemory - Whether there is memory for it; it is refused otherwise. */
+export type RequestHandler = (request: http.IncomingMessage, response: http.ServerResponse, hasMemory: boolean) => void;
 
 /** Statuses of answers to what the parser rejects, by its error codes; others get status 400. */
 const rejectionStatuses: Readonly<Record<string, number>> = {HPE_HEADER_OVERFLOW: 431, HPE_CHUNK_EXTENSIONS_OVERFLOW: 413, ERR_HTTP_REQUEST_TIMEOUT: 408};
@@ -37,22 +39,19 @@
 	/** Connections that close after the responses to what was received before an error. */
 	readonly #failed = new WeakSet<Socket>();
 	readonly #lingering = new LingeringConnections();
+	readonly #outstanding: OutstandingRequests;
 
-	constructor(handler: RequestHandler) {
+	constructor(handler: RequestHandler, memory: MemoryBudget) {
+		this.#outstanding = new OutstandingRequests(memory);
 		this.#server = http.createServer({
 			maxHeaderSize: maximumHeaderBytes, connectionsCheckingInterval: connectionCheckInterval, requestTimeout: 0, noDelay: true,
 		}, (request, response) => {
-			if (this.#failed.has(request.socket) || this.#lingering.has(request.socket)) {
-				request.resume();
-				return;
-			}
-
-			this.#newest.set(request.socket, {request, response});
-			handler(request, response);
+			this.#receive(request, response, handler);
 		});
 		this.#server.on('connection', socket => {
 			// The server calls it after the last response of a connection.
 			socket.destroySoon = () => {
+				this.#outstanding.release(socket);
 				this.#lingering.close(socket);
 			};
 		});
@@ -87,6 +86,41 @@
 		this.#server.closeIdleConnections();
 	}
 
+	#receive(request: http.IncomingMessage, response: http.ServerResponse, handler: RequestHandler): void {
+		const {socket} = request;
+		if (socket.destroyed) {
+			// What was read before a connection is closed is still parsed.
+			return;
+		}
+
+		const decision = this.#outstanding.add(request, response);
+		const isClosing = this.#failed.has(socket) || this.#lingering.has(socket);
+		if (!isClosing && decision !== 'dropped') {
+			this.#newest.set(socket, {request, response});
+			handler(request, response, decision === 'accepted');
+			return;
+		}
+
+		request.resume();
+		if (isClosing ? this.#outstanding.countOf(socket) > maximumOutstanding : !this.#closeAfterNewest(socket)) {
+			socket.destroy();
+		}
+	}
+
+	/** Closes a connection for which there is no memory after the response to its newest request. @returns false if that would keep too much. */
+	#closeAfterNewest(socket: Socket): boolean {
+		const newest = this.#newest.get(socket);
+		if (newest === undefined || newest.response.writableFinished || this.#outstanding.countOf(socket) > maximumOutstanding) {
+			return false;
+		}
+
+		this.#failed.add(socket);
+		newest.response.once('finish', () => {
+			socket.destroySoon();
+		});
+		return true;
+	}
+
 	/** Answers what is not HTTP, or too late, and closes its connection; not before the responses to complete requests that came before it. */
 	#handleClientError({code = ''}: NodeJS.ErrnoException, socket: Socket): void {
 		if (this.#lingering.has(socket)) {
--- a/src/serving/caller-response.ts
+++ b/src/serving/caller-response.ts
@@ -5,9 +5,11 @@
  */
 import {Buffer} from 'node:buffer';
 import type http from 'node:http';
+import {onceClosed} from '../entry/connection-end.js';
 import {errorBody} from '../entry/error-response.js';
 import {errorCatalogue, type ErrorCode, type ExecutionStatus} from '../errors/catalogue.js';
 import {CarobquayError} from '../errors/errors.js';
+import type {MemoryBudget, MemoryReservation} from '../memory/memory-budget.js';
 
 /** Retry-After is written in seconds with fractions. */
 const millisecondsPerSecond = 1000;
@@ -15,6 +17,16 @@
 /** Maximum number of bytes that are buffered for a caller that reads too slowly or not at all. */
 const maximumBufferedBytes = 1_048_576;
 
+/** Unread bytes of one response that count in the memory budget, from which on they do; fewer are part of what a request takes. */
+const minimumCountedBytes = 16_384;
+
+/** What bounds the unread bytes of all responses. */
+export type UnreadBytesOptions = {
+	memory: MemoryBudget;
+	/** Customer of the request. */
+	owner: () => string;
+};
+
 /** Response to one request, on the caller's connection. It ends once; later calls have no effect. */
 export class CallerResponse {
 	readonly #response: http.ServerResponse;
@@ -22,12 +34,16 @@
 	#isEnded = false;
 	readonly #shouldCloseConnection: () => boolean;
 	readonly #onCut: () => void;
+	readonly #unreadOptions: UnreadBytesOptions | undefined;
+	#unread: MemoryReservation | undefined;
 
 	/**
 	 * @param shouldCloseConnection - Whether the connection is closed after the response.
 	 * @param onCut - Called before the connection is closed within the response.
+	 * @param unread - Undefined where the budget does not count its bytes.
 	 */
-	constructor(response: http.ServerResponse, requestId: string | undefined, shouldCloseConnection: () => boolean, onCut: () => void = () => undefined) {
+	constructor(response: http.ServerResponse, requestId: string | undefined, shouldCloseConnection: () => boolean, onCut: () => void = () => undefined, unread?: UnreadBytesOptions) {
+		this.#unreadOptions = unread;
 		this.#onCut = onCut;
 		this.#response = response;
 		this.#requestId = requestId;
@@ -44,6 +60,9 @@
 		if (this.#tryEnd()) {
 			this.#response.writeHead(status, [...headers, 'Content-Length', String(body.length), ...this.#connectionHeader()]);
 			this.#response.end(body);
+			if (!this.#countUnread()) {
+				this.#closeConnection();
+			}
 		}
 	}
 
@@ -65,12 +84,11 @@
 		}
 
 		this.#response.write(bytes);
-		if (this.#response.writableLength > maximumBufferedBytes) {
+		if (this.#response.writableLength > maximumBufferedBytes || !this.#countUnread()) {
 			this.destroy();
-			return false;
 		}
 
-		return true;
+		return !this.#isEnded;
 	}
 
 	/** Ends a response that was sent in several writes. */
@@ -119,6 +137,39 @@
 		this.#isEnded = true;
 	}
 
+	/** Closes the connection at once, even if the response waits behind another one, which keeps its bytes as well. */
+	#closeConnection(): void {
+		this.#onCut();
+		this.#response.req.socket.destroy();
+	}
+
+	/** Counts what the response keeps. @returns false if there is no memory for it. */
+	#countUnread(): boolean {
+		const bytes = this.#response.writableLength;
+		if (this.#unreadOptions === undefined || (this.#unread === undefined && bytes < minimumCountedBytes)) {
+			return true;
+		}
+
+		this.#unread ??= this.#addReservation(this.#unreadOptions);
+		return this.#unread.resize(bytes);
+	}
+
+	#addReservation({memory, owner}: UnreadBytesOptions): MemoryReservation {
+		const reservation = memory.reserve({
+			source: 'unread-answers', owner: owner(), bytes: 0, giveUp: () => {
+				this.#isEnded = true;
+				this.#closeConnection();
+			},
+		})!;
+		this.#response.on('drain', () => {
+			reservation.resize(this.#response.writableLength);
+		});
+		onceClosed(this.#response.req, this.#response, () => {
+			reservation.release();
+		});
+		return reservation;
+	}
+
 	/** Marks the response as ended. @returns false if it had already ended. */
 	#tryEnd(): boolean {
 		const isFirst = !this.#isEnded;
--- a/src/serving/forwarded-request-options.ts
+++ b/src/serving/forwarded-request-options.ts
@@ -44,6 +44,8 @@
 	buffers: ResponseBuffers;
 	metrics: ServingMetrics;
 	log: EventLog;
+	/** Called before each attempt at an engine. */
+	onPassOn?: (() => void) | undefined;
 	/** Version of the configuration with which the request was admitted. */
 	configurationVersion: number;
 };
--- a/src/serving/forwarded-request.ts
+++ b/src/serving/forwarded-request.ts
@@ -121,7 +121,24 @@
 
 	/** Ends the request, because this process is about to end. A caller that has no part of the answer yet gets an error. */
 	abandon(): void {
-		this.#giveUp({code: '3006', reason: shutdownReason, retryAfter: errorCatalogue[3006].retryAfter!}, {code: '4010', reason: 'this instance has stopped before the end of the answer'});
+		this.giveUp({code: '3006', reason: shutdownReason, retryAfter: errorCatalogue[3006].retryAfter!}, {code: '4010', reason: 'this instance has stopped before the end of the answer'});
+	}
+
+	/** Refuses the request if no engine can have run it, fails it otherwise; does nothing if it has ended. */
+	giveUp(refusal: {code: ErrorCode; reason: string; retryAfter: number}, failure: {code: ErrorCode; reason: string}): void {
+		if (this.#isEnded) {
+			return;
+		}
+
+		for (let unconnected = this.#attempts.unconnectedCount; unconnected > 0; unconnected--) {
+			this.#lifecycle.markAttemptNotRun();
+		}
+
+		if (this.#lifecycle.ran === 'no' && !this.#options.callerResponse.hasStarted) {
+			this.#refuse(refusal.code, refusal.reason, refusal.retryAfter);
+		} else {
+			this.#fail(failure.code, failure.reason);
+		}
 	}
 
 	get #isRetryable(): boolean {
@@ -206,6 +223,7 @@
 
 	#startAttempt(engine: ChosenEngine, listener: EngineAttemptListener): EngineAttempt {
 		const {protocol, rawHeaders, customer, method, path, body, headerValues, callerResponse, buffers} = this.#options;
+		this.#options.onPassOn?.();
 		this.#lastEngine = engine;
 		this.#lifecycle.admit();
 		this.#lifecycle.markWaiting();
@@ -360,24 +378,7 @@
 	}
 
 	#onDeadline(): void {
-		this.#giveUp({code: '3004', reason: 'no engine accepted the request before its deadline', retryAfter: 0}, {code: '4001', reason: 'deadline exceeded'});
-	}
-
-	/** Refuses the request if no engine can have run it, fails it otherwise; does nothing if it has ended. */
-	#giveUp(refusal: {code: ErrorCode; reason: string; retryAfter: number}, failure: {code: ErrorCode; reason: string}): void {
-		if (this.#isEnded) {
-			return;
-		}
-
-		for (let unconnected = this.#attempts.unconnectedCount; unconnected > 0; unconnected--) {
-			this.#lifecycle.markAttemptNotRun();
-		}
-
-		if (this.#lifecycle.ran === 'no' && !this.#options.callerResponse.hasStarted) {
-			this.#refuse(refusal.code, refusal.reason, refusal.retryAfter);
-		} else {
-			this.#fail(failure.code, failure.reason);
-		}
+		this.giveUp({code: '3004', reason: 'no engine accepted the request before its deadline', retryAfter: 0}, {code: '4001', reason: 'deadline exceeded'});
 	}
 
 	#finish(outcome: string, status: number, fields: LogFields = {}): void {
@@ -389,7 +390,6 @@
 		this.#observation?.end(answerEndOf(outcome, status));
 		this.#lifecycle.end();
 		this.#abortController.abort();
-		clearTimeout(this.#deadlineTimer);
 		this.#attempts.abort();
 		this.#reporter.reportEnd(outcome, status, this.#progress, {engine: this.#lastEngine?.record.id, ran: this.#lifecycle.ran, ...fields});
 	}
--- a/src/serving/serving-instance.ts
+++ b/src/serving/serving-instance.ts
@@ -213,14 +213,15 @@
 		});
 		this.#admission = new Admission({
 			...admissionState, protocol, chooser, answerDurations, quarantine: this.#quarantine, metrics: this.#metrics, log,
+			memory: this.#memory,
 			retryBudget: new RetryBudget({
 				ratio: bounds.retryRatio, window: bounds.retryWindow, allowance: bounds.retryAllowance, fleet: () => this.#peerMessenger.fleet,
 			}),
 		});
-		this.#listener = new CallerListener((request, response) => {
+		this.#listener = new CallerListener((request, response, hasMemory) => {
 			eventLoop.recordTurn();
-			void this.#admission.handle(request, response);
-		});
+			void this.#admission.handle(request, response, hasMemory);
+		}, this.#memory);
 		this.#registerGauges(placementCoordinator);
 	}
 
