fix(memory): one owner leaves room to others, and nothing is given up in vain

Callers saw (review, real process): 70 connections of 60 slow pipelined requests from one address, and every other caller got 503 3002 although the process took 152 of 350 MB; bodies in progress of one customer refused every other body. In a budget of 100 bytes, 40 were given up for a claim that was refused all the same.

Cause: what has begun is never given up, so the rule that the owner who uses most gives way had nothing to act on; victims were given up one by one before it was known whether they suffice.

Change: of requests in progress and of their bodies one owner takes at most three quarters; the sum of what would give way is checked before anything is given up.

Result: three new cases of memory-budget.test.ts, which fail without the parts; the property test runs with an owner's share. Several owners together can still fill a source.

--- a/src/memory/__tests__/memory-budget.property.test.ts
+++ b/src/memory/__tests__/memory-budget.property.test.ts
@@ -15,7 +15,7 @@
 
 test('no sequence of reservations exceeds a limit, and what ends returns all its bytes', t => {
 	const property = fc.property(fc.array(operation, {maxLength: 100}), operations => {
-		const budget = new MemoryBudget({ceiling, sources: {'unread-answers': sourceLimit}});
+		const budget = new MemoryBudget({ceiling, sources: {'unread-answers': sourceLimit}, ownerShares: {'request-bodies': 0.75}});
 		const kept: MemoryReservation[] = [];
 		for (const {kind, index, owner, source, bytes} of operations) {
 			const existing = kept[index % Math.max(1, kept.length)];
--- a/src/memory/__tests__/memory-budget.test.ts
+++ b/src/memory/__tests__/memory-budget.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import {MemoryBudget, type MemoryReservation, type MemorySource} from '../memory-budget.js';
 
-const limits = {ceiling: 100, sources: {'unread-answers': 50}};
+const limits = {ceiling: 100, sources: {'unread-answers': 50}, ownerShares: {'request-heads': 0.75}};
 
 type Step = {name: string; owner: string; bytes: number; source?: MemorySource; isPinned?: boolean};
 type Case = {title: string; steps: readonly Step[]; refused: readonly string[]; givenUp: readonly string[]};
@@ -51,6 +51,40 @@
 		title: 'more than the ceiling is refused, and nobody gives way in vain', refused: ['b'], givenUp: [],
 		steps: [{name: 'a', owner: 'one', bytes: 60}, {name: 'b', owner: 'two', bytes: 101}],
 	},
+	{
+		title: 'nobody gives way in vain where others keep what is missing', refused: ['c'], givenUp: [],
+		steps: [{
+			name: 'a', owner: 'one', bytes: 50, isPinned: true,
+		}, {name: 'b', owner: 'one', bytes: 40}, {name: 'c', owner: 'two', bytes: 60}],
+	},
+	{
+		title: 'an owner leaves a share of a source to others', refused: ['b'], givenUp: [],
+		steps: [
+			{
+				name: 'a', owner: 'one', bytes: 70, source: 'request-heads', isPinned: true,
+			},
+			{
+				name: 'b', owner: 'one', bytes: 10, source: 'request-heads',
+			},
+			{
+				name: 'c', owner: 'two', bytes: 25, source: 'request-heads',
+			},
+		],
+	},
+	{
+		title: 'an owner at its share of a source takes nothing from others', refused: ['c'], givenUp: [],
+		steps: [
+			{
+				name: 'a', owner: 'one', bytes: 20, source: 'request-heads',
+			},
+			{
+				name: 'b', owner: 'two', bytes: 60, source: 'request-heads', isPinned: true,
+			},
+			{
+				name: 'c', owner: 'two', bytes: 20, source: 'request-heads',
+			},
+		],
+	},
 ];
 
 for (const {title, steps, refused, givenUp} of cases) {
--- a/src/memory/memory-budget.ts
+++ b/src/memory/memory-budget.ts
@@ -44,6 +44,12 @@
 	ceiling: number;
 	/** Single sources; those that are missing are bounded by the ceiling alone. */
 	sources?: Partial<Record<MemorySource, number>>;
+	/**
+	 * Share of a source's limit that one owner may take; what remains is kept for others, who could not get back what
+	 * cannot be given up.
+	 * @default 1 for each source
+	 */
+	ownerShares?: Partial<Record<MemorySource, number>>;
 };
 
 /** Memory that an instance keeps for others. The sum of all reservations never exceeds the ceiling. */
@@ -52,6 +58,8 @@
 	readonly #ledger = new Set<Reservation>();
 	readonly #bySource = new Map<MemorySource, number>();
 	readonly #byOwner = new Map<MemoryOwner, number>();
+	/** By source and owner, separated by a space. */
+	readonly #byOwnerAndSource = new Map<string, number>();
 	#total = 0;
 	#givenUpCount = 0;
 	#refusedCount = 0;
@@ -92,22 +100,7 @@
 
 	/** Whether some bytes could be reserved now, if everything gave way that would. Changes nothing. */
 	canReserve({source, owner, bytes}: Pick<MemoryClaim, 'source' | 'owner' | 'bytes'>): boolean {
-		const asking = new Reservation({source, owner, giveUp: undefined}, this.#resize, this.#release);
-		let missing = Math.max(this.#total + bytes - this.#limits.ceiling, this.usedBy(source) + bytes - this.limitOf(source));
-		if (missing <= 0) {
-			return true;
-		}
-
-		for (const candidate of this.#ledger) {
-			if (this.#givesWay(candidate, asking, bytes)) {
-				missing -= candidate.bytes;
-				if (missing <= 0) {
-					return true;
-				}
-			}
-		}
-
-		return false;
+		return this.#canGrow(new Reservation({source, owner, giveUp: undefined}, this.#resize, this.#release), bytes);
 	}
 
 	/**
@@ -131,12 +124,13 @@
 		// What is given up may release other reservations, this one among them.
 		while (this.#ledger.has(reservation)) {
 			const growth = bytes - reservation.bytes;
-			if (growth <= 0 || this.hasRoom(reservation.source, growth)) {
+			if (growth <= 0 || this.#missing(reservation, bytes) <= 0) {
 				this.#add(reservation, growth);
 				return true;
 			}
 
-			const victim = this.#findVictim(reservation, bytes);
+			// Nobody gives way to what would be refused all the same.
+			const victim = this.#canGrow(reservation, bytes) ? this.#findVictim(reservation, bytes) : undefined;
 			if (victim === undefined) {
 				break;
 			}
@@ -160,12 +154,45 @@
 		reservation.setBytes(reservation.bytes + growth);
 		this.#total += growth;
 		this.#bySource.set(reservation.source, this.usedBy(reservation.source) + growth);
-		const owned = (this.#byOwner.get(reservation.owner) ?? 0) + growth;
-		if (owned > 0) {
-			this.#byOwner.set(reservation.owner, owned);
-		} else {
-			this.#byOwner.delete(reservation.owner);
+		addTo(this.#byOwner, reservation.owner, growth);
+		addTo(this.#byOwnerAndSource, `${reservation.source} ${reservation.owner}`, growth);
+	}
+
+	/** Bytes that have to be given up before a reservation can have some bytes. */
+	#missing({source, owner, bytes: before}: Reservation, bytes: number): number {
+		const growth = bytes - before;
+		return Math.max(
+			this.#total + growth - this.#limits.ceiling,
+			this.usedBy(source) + growth - this.limitOf(source),
+			this.#usedByOwner(source, owner) + growth - this.#ownerLimitOf(source),
+		);
+	}
+
+	/** Whether a reservation can have some bytes if everything gives way that would. */
+	#canGrow(reservation: Reservation, bytes: number): boolean {
+		let missing = this.#missing(reservation, bytes);
+		if (missing <= 0) {
+			return true;
 		}
+
+		for (const candidate of this.#ledger) {
+			if (this.#givesWay(candidate, reservation, bytes)) {
+				missing -= candidate.bytes;
+				if (missing <= 0) {
+					return true;
+				}
+			}
+		}
+
+		return false;
+	}
+
+	#usedByOwner(source: MemorySource, owner: MemoryOwner): number {
+		return this.#byOwnerAndSource.get(`${source} ${owner}`) ?? 0;
+	}
+
+	#ownerLimitOf(source: MemorySource): number {
+		return this.limitOf(source) * (this.#limits.ownerShares?.[source] ?? 1);
 	}
 
 	/** What gives way to a reservation that needs some bytes; undefined if nothing does. */
@@ -188,7 +215,12 @@
 
 		const growth = bytes - reservation.bytes;
 		const isSourceFull = this.usedBy(reservation.source) + growth > this.limitOf(reservation.source);
-		if (isSourceFull && candidate.source !== reservation.source) {
+		const isOwnerFull = this.#usedByOwner(reservation.source, reservation.owner) + growth > this.#ownerLimitOf(reservation.source);
+		if ((isSourceFull || isOwnerFull) && candidate.source !== reservation.source) {
+			return false;
+		}
+
+		if (isOwnerFull && candidate.owner !== reservation.owner) {
 			return false;
 		}
 
@@ -204,6 +236,16 @@
 	}
 }
 
+/** Adds to an entry, which is removed at 0. */
+function addTo<Key>(sums: Map<Key, number>, key: Key, growth: number): void {
+	const sum = (sums.get(key) ?? 0) + growth;
+	if (sum > 0) {
+		sums.set(key, sum);
+	} else {
+		sums.delete(key);
+	}
+}
+
 class Reservation implements MemoryReservation {
 	readonly source: MemorySource;
 	readonly owner: MemoryOwner;
--- a/src/memory/memory-limits.ts
+++ b/src/memory/memory-limits.ts
@@ -23,6 +23,9 @@
 /** Share of the ceiling for bytes relayed to and from engines, and for copies of tables. */
 const transferShare = 0.25;
 
+/** Share of requests in progress, and of their bodies, that one owner may take: work that has begun cannot be given up for others. */
+const ownerShare = 0.75;
+
 /** What a process may take and takes, in bytes. */
 export type ProcessMemory = {
 	/** Limit that the platform sets; undefined where the settings name none. */
@@ -48,5 +51,6 @@
 			'relayed-bytes': Math.floor(ceiling * transferShare),
 			tables: Math.floor(ceiling * transferShare),
 		},
+		ownerShares: {'request-heads': ownerShare, 'request-bodies': ownerShare},
 	};
 }
