fix(startup, serving): a process without descriptors, and unread requests at small ports, end nothing

Callers saw (review, real processes): with ulimit -n 60 and some dozens of idle connections the process ended with code 1, EMFILE in uv_resident_set_memory; five connections of pipelined requests to the metrics port that read nothing ended it by SIGABRT, "Reached heap limit", also on.

Cause: resident memory is read from a file, which takes a descriptor; the check once a second, the gauge and the last line did not expect that to fail, and the operators' answer was a promise that nobody caught. Each request at the metrics port began a rendering before any back-pressure acted.

Change: resident memory that cannot be read is left out; an operators' answer that fails is reported and its connection closed; the small HTTP servers take 64 connections and 8 waiting requests on one.

--- a/src/serving/instance-ports.ts
+++ b/src/serving/instance-ports.ts
@@ -4,10 +4,16 @@
  * @module
  */
 import http from 'node:http';
+import type {Socket} from 'node:net';
+import {onceClosed} from '../entry/connection-end.js';
 import {openServer, type Port} from '../startup/ports.js';
 import type {EventLog} from '../telemetry/log.js';
 import type {Endpoint, ServingInstanceOptions} from './serving-instance-options.js';
 
+/** Connections to one of the small HTTP servers, and requests of one connection that wait for their answers. */
+const maximumConnections = 64;
+const maximumWaitingRequests = 8;
+
 /** Options of `InstancePorts`. */
 export type InstancePortsOptions = Pick<ServingInstanceOptions, 'callers' | 'readiness' | 'metrics' | 'ip' | 'peerPort' | 'relayPort'> & {
 	log: EventLog;
@@ -60,10 +66,31 @@
 	}
 
 	#httpPort(name: string, endpoint: Endpoint, log: EventLog, handler: http.RequestListener): Port {
-		const server = http.createServer(handler);
+		const server = http.createServer(boundWaitingRequests(handler));
+		server.maxConnections = maximumConnections;
 		this.#servers.push(server);
 		return {
 			name, ...endpoint, transport: 'tcp', open: async () => openServer(server, endpoint, log),
 		};
 	}
 }
+
+/** Closes connections on which more requests wait for their answers than a sound client sends. */
+function boundWaitingRequests(handler: http.RequestListener): http.RequestListener {
+	const waitingRequests = new WeakMap<Socket, number>();
+	return (request, response) => {
+		const {socket} = request;
+		const waiting = (waitingRequests.get(socket) ?? 0) + 1;
+		if (socket.destroyed || waiting > maximumWaitingRequests) {
+			// What was read before the connection is closed is still parsed.
+			socket.destroy();
+			return;
+		}
+
+		waitingRequests.set(socket, waiting);
+		onceClosed(request, response, () => {
+			waitingRequests.set(socket, waitingRequests.get(socket)! - 1);
+		});
+		handler(request, response);
+	};
+}
--- a/src/serving/serving-instance.ts
+++ b/src/serving/serving-instance.ts
@@ -3,7 +3,9 @@
  *
  * @module
  */
+import type http from 'node:http';
 import {performance} from 'node:perf_hooks';
+import {errorMessage} from '../errors/errors.js';
 import {createMemoryBudget} from '../memory/process-memory.js';
 import type {MemoryBudget} from '../memory/memory-budget.js';
 import {PeerMessenger} from '../peers/peer-messenger.js';
@@ -225,7 +227,7 @@
 		this.#ports = new InstancePorts({
 			...options, isReady: () => this.isReady, tableServer: this.#tableServer, relay: this.#access, peerMessenger: this.#peerMessenger, callerListener: this.#listener,
 			answerOperator: (request, response) => {
-				void answerOperator({metrics: this.#metrics.registry, quarantine: this.#quarantine, explainer: this.#explainer}, request, response);
+				void this.#answerOperator(request, response);
 			},
 		});
 		this.#registerGauges(placementCoordinator);
@@ -306,6 +308,15 @@
 		this.#ports.close();
 	}
 
+	async #answerOperator(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+		try {
+			await answerOperator({metrics: this.#metrics.registry, quarantine: this.#quarantine, explainer: this.#explainer}, request, response);
+		} catch (error) {
+			this.#options.log.error('operator.unanswered', {path: request.url, reason: errorMessage(error)});
+			response.destroy();
+		}
+	}
+
 	#createReplicatedTable(index: TableIndex, {table: name, ...content}: {table: string} & Pick<TableReplicaOptions, 'fingerprint' | 'statedTime'>, listener: TableListener): ReplicatedTable {
 		const replica = new TableReplica({
 			...content, listener,
--- a/src/serving/serving-metrics.ts
+++ b/src/serving/serving-metrics.ts
@@ -9,6 +9,7 @@
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
 import {type MemoryBudget, memorySources} from '../memory/memory-budget.js';
+import {residentBytes} from '../memory/process-memory.js';
 
 /** Upper bounds in seconds of the histogram buckets; they cover the latency targets of the deployments, 0.12 to 4 s. */
 const durationBuckets = [0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 3, 4, 6, 10, 15];
@@ -124,7 +125,7 @@
 			['carobquay_quarantined', 'Fingerprints of requests that are kept from engines, as engines crashed on them.', readers.quarantinedFingerprints],
 			['carobquay_store_era', 'Era of the store, which rises when it comes back from an older copy.', readers.storeEra],
 			['carobquay_store_age_seconds', 'Time since the store last answered.', readers.storeAge],
-			['process_resident_memory_bytes', 'Resident memory of the process.', () => process.memoryUsage.rss()],
+			['process_resident_memory_bytes', 'Resident memory of the process.', () => residentBytes() ?? Number.NaN],
 			['carobquay_heap_used_bytes', 'Heap of the runtime in use.', () => v8.getHeapStatistics().used_heap_size],
 			['carobquay_heap_limit_bytes', 'Limit of the heap, at which the runtime aborts the process.', () => v8.getHeapStatistics().heap_size_limit],
 			['carobquay_log_lines_dropped', 'Log lines left out since the last count was written.', readers.droppedLineCount],
--- a/src/startup/end-report.ts
+++ b/src/startup/end-report.ts
@@ -10,6 +10,7 @@
 import v8 from 'node:v8';
 import {errorMessage} from '../errors/errors.js';
 import {type MemoryBudget, memorySources} from '../memory/memory-budget.js';
+import {residentBytes} from '../memory/process-memory.js';
 import type {LineWriter} from '../telemetry/line-writer.js';
 import {EventLog, type LogFields} from '../telemetry/log.js';
 
@@ -58,7 +59,7 @@
 
 	write(code: number): void {
 		this.#log.info('instance.ended', {
-			reason: this.#reason, ...this.#cause, code, uptime_ms: Math.round(performance.now()), heap: v8.getHeapStatistics().used_heap_size, resident: process.memoryUsage.rss(),
+			reason: this.#reason, ...this.#cause, code, uptime_ms: Math.round(performance.now()), heap: v8.getHeapStatistics().used_heap_size, resident: residentBytes(),
 			kept: this.#memory?.total, largest: this.#memory && largestSources(this.#memory),
 		});
 	}
--- a/src/startup/memory-warning.ts
+++ b/src/startup/memory-warning.ts
@@ -4,9 +4,9 @@
  *
  * @module
  */
-import process from 'node:process';
 import v8 from 'node:v8';
 import type {MemoryBudget} from '../memory/memory-budget.js';
+import {residentBytes} from '../memory/process-memory.js';
 import type {EventLog} from '../telemetry/log.js';
 import {largestSources} from './end-report.js';
 
@@ -21,7 +21,8 @@
 export type MemoryUse = {
 	heap: number;
 	heapLimit: number;
-	resident: number;
+	/** Undefined where it cannot be read. */
+	resident: number | undefined;
 	/** Undefined where the platform sets no limit. */
 	residentLimit: number | undefined;
 };
@@ -62,7 +63,7 @@
 	#check(): void {
 		const {log, memory} = this.#options;
 		const {heap, heapLimit, resident, residentLimit} = this.#measure();
-		const isHigh = heap > heapLimit * highShare || (residentLimit !== undefined && resident > residentLimit * highShare);
+		const isHigh = heap > heapLimit * highShare || (residentLimit !== undefined && resident !== undefined && resident > residentLimit * highShare);
 		if (isHigh && performance.now() - this.#lastWarningAt >= warningInterval) {
 			this.#lastWarningAt = performance.now();
 			log.warn('memory.high', {
@@ -75,6 +76,6 @@
 function measureProcess(residentLimit: number | undefined): MemoryUse {
 	const {used_heap_size: heap, heap_size_limit: heapLimit} = v8.getHeapStatistics();
 	return {
-		heap, heapLimit, resident: process.memoryUsage.rss(), residentLimit,
+		heap, heapLimit, resident: residentBytes(), residentLimit,
 	};
 }
--- a/src/startup/ports.ts
+++ b/src/startup/ports.ts
@@ -38,7 +38,7 @@
 /** Shortest time in milliseconds between two lines about connections that a port could not accept. */
 const acceptLogInterval = 1000;
 
-/** @throws {CarobquayError} 7004 if a port cannot be opened. */
+/** @throws {CarobquayError} 7004 if a port cannot be opened, or the reason of the signal. */
 export async function openPorts(ports: readonly Port[], {log, timeLimit = defaultStartLimit, signal}: OpenPortsOptions): Promise<void> {
 	const deadline = performance.now() + timeLimit;
 	for (const {name, host, port, transport, open} of ports) {
@@ -58,6 +58,8 @@
 			});
 		}
 	}
+
+	signal.throwIfAborted();
 }
 
 /** Opens a server. A connection that cannot be accepted later on leaves it open. @throws the error of the socket; it may be opened again then. */
