--- a/src/commands/front.ts
+++ b/src/commands/front.ts
@@ -38,7 +38,7 @@
 	 * Time in milliseconds for which settings that are not valid yet are waited for, and ports where the settings set no other.
 	 * @default 30000
 	 */
-	startLimit?: string;
+	startLimit?: number;
 };
 
 /** Time in milliseconds to write the last log lines. */
@@ -49,7 +49,7 @@
  *
  * @param onHangup - Sets the listener for SIGHUP.
  */
-export async function front({logLevel, metricsPort, startLimit}: FrontOptions, onHangup: (listener: () => void) => void = listenForHangups): Promise<void> {
+export async function front({logLevel, metricsPort, startLimit = defaultStartLimit}: FrontOptions, onHangup: (listener: () => void) => void = listenForHangups): Promise<void> {
 	stopBlockingOnStandardOutput();
 	const writer = new LineWriter(fileDescriptorSink(1), fileDescriptorWriter(1));
 	const log = new EventLog({
@@ -88,7 +88,7 @@
 	});
 	try {
 		await start({
-			writer, log, end, metricsPort, onHangup, running, startLimit: startLimit === undefined ? defaultStartLimit : Number(startLimit),
+			writer, log, end, metricsPort, onHangup, running, startLimit,
 		});
 	} catch (error) {
 		if (running.isStopping) {
@@ -134,6 +134,7 @@
 		void reload(path, settingsAtStart, log);
 	});
 	const settings = await settingsAtStart;
+	running.signal.throwIfAborted();
 	const instanceLog = log.with({instance: settings.instance});
 	instanceLog.info('instance.settings', {ip: settings.ip, memory_limit: settings.memoryLimit});
 	const serving = new ServingInstance({
--- a/src/serving/engine-attempt.ts
+++ b/src/serving/engine-attempt.ts
@@ -159,6 +159,9 @@
 			});
 			if (this.#reservation === undefined) {
 				fail();
+			} else if (this.#isEnded) {
+				// What gave way for it has ended this attempt.
+				this.#reservation.release();
 			}
 		} else if (!this.#reservation.resize(bytes)) {
 			fail();
@@ -292,6 +295,8 @@
 		const {callerResponse, protocol} = this.#options;
 		const body = this.#body.take();
 		const forwardResponse = () => {
+			// From here on its bytes count as unread by the caller.
+			this.#reservation?.release();
 			callerResponse.send(status, protocol.buildResponseHeaders(rawHeaders), body);
 			return status;
 		};
