--- a/soak/__tests__/flood-faults.test.ts
+++ b/soak/__tests__/flood-faults.test.ts
@@ -30,7 +30,9 @@
 // Guards against a flood, a signal or a port that no run has.
 test('all kinds of floods, signals, ports and torn files are drawn', t => {
 	const kinds = new Set(drawFloods(xoroshiro128plus(1), 2_000_000, options).map(fault => {
-		const {kind, flood, port, first} = {flood: '', port: '', first: '', ...fault};
+		const {kind, flood, port, first} = {
+			flood: '', port: '', first: '', ...fault,
+		};
 		return [kind, flood, port === '' ? first : port].join(' ');
 	}));
 	t.is(kinds.size, 7 + 11 + 4 + 3 + 1 + 1 + 2 + 3 + 5);
--- a/soak/caller-floods.ts
+++ b/soak/caller-floods.ts
@@ -6,7 +6,9 @@
 import {Buffer} from 'node:buffer';
 import net from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {callerHost, floodApiKey, routePrefixes} from '../platform/stand-in/deployment.js';
+import {
+	callerHost, floodApiKey, routePrefixes, shortPromptFields,
+} from '../platform/stand-in/deployment.js';
 import {writeInterval, writeWithoutEnd} from './endless-writer.js';
 import {type CallerFlood, floodRequestId} from './flood-faults.js';
 import {ports} from './ports.js';
@@ -91,12 +93,12 @@
 	#writer(flood: CallerFlood): Writer {
 		const nothing = () => undefined;
 		const pipelined = () => Buffer.from(Array.from({length: pipelinedRequests}, () => this.#head('GET', `${routePrefixes.idempotent}x`, [padding])).join(''));
-		const streams = () => Array.from({length: unreadRequests}, () => `${this.#head('POST', `${routePrefixes.stream}${unreadEvents}`, ['Content-Length: 4', ...promptFields])}body`).join('');
+		const streams = () => Array.from({length: unreadRequests}, () => `${this.#head('POST', `${routePrefixes.stream}${unreadEvents}`, ['Content-Length: 4', ...shortPromptFields])}body`).join('');
 		const writers: Readonly<Record<CallerFlood, () => Writer>> = {
 			pipelined: () => ({start: '', nextPiece: pipelined}),
 			'unfinished-bodies': () => ({start: this.#head('POST', `${routePrefixes.nonIdempotent}x`, [`Content-Length: ${maximumBodyBytes}`]), nextPiece: bodyPieces(maximumBodyBytes - 1)}),
 			'chunked-bodies': () => ({start: this.#head('POST', `${routePrefixes.nonIdempotent}x`, ['Transfer-Encoding: chunked']), nextPiece: () => smallChunks}),
-			'whole-bodies': () => ({start: this.#head('POST', `${routePrefixes.stream}x`, [`Content-Length: ${maximumBodyBytes}`, ...promptFields]), nextPiece: bodyPieces(maximumBodyBytes)}),
+			'whole-bodies': () => ({start: this.#head('POST', `${routePrefixes.stream}x`, [`Content-Length: ${maximumBodyBytes}`, ...shortPromptFields]), nextPiece: bodyPieces(maximumBodyBytes)}),
 			'endless-heads': () => ({start: `GET ${routePrefixes.idempotent}x HTTP/1.1\r\nHost: ${callerHost}\r\nX-Long: `, nextPiece: () => headPiece}),
 			'idle-connections': () => ({start: '', nextPiece: nothing}),
 			'unread-answers': () => ({start: streams(), nextPiece: nothing}),
@@ -117,9 +119,6 @@
 	}
 }
 
-/** Prompts are short, so that the memory of the engines bears the requests of a flood. */
-const promptFields = ['Carobquay-Token-Counts: 100,20', 'Carobquay-Model: m', 'Carobquay-Prompt-Prefix: 1:100'];
-
 const padding = `X-Padding: ${'x'.repeat(paddingLength)}`;
 const headPiece = Buffer.alloc(100, 'x');
 
--- a/soak/proxy.ts
+++ b/soak/proxy.ts
@@ -140,11 +140,11 @@
 
 		// The end of a connection that is not read shows only when reading goes on.
 		to.once('close', resume);
+		to.on('drain', resume);
 		from.on('data', bytes => {
 			pass(() => {
 				if (!to.write(bytes)) {
 					from.pause();
-					to.once('drain', resume);
 				}
 			});
 		});
