fix(memory): answers that are held take a fifth of the ceiling; names of the platform leave the soak

Cause: held answers had half of the ceiling since they joined the budget, where 32 MB stood before; they are copied once when complete and then count as unread, which had another half, and since they count once while they are sent.

Change: a fifth of the ceiling for held answers, two fifths for unread ones. The soak takes the names of headers and paths from the platform's stand-ins.

No bound of a test is changed.

--- a/soak/caller-floods.ts
+++ b/soak/caller-floods.ts
@@ -7,7 +7,7 @@
 import net from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	callerHost, floodApiKey, routePrefixes, shortPromptFields,
+	callerHost, deadlineHeader, floodApiKey, requestIdHeader, routePrefixes, shortPromptFields,
 } from '../platform/stand-in/deployment.js';
 import {writeInterval, writeWithoutEnd} from './endless-writer.js';
 import {type CallerFlood, floodRequestId} from './flood-faults.js';
@@ -111,8 +111,8 @@
 		return [`${method} ${target} HTTP/1.1`,
 			`Host: ${callerHost}`,
 			`Authorization: Bearer ${floodApiKey}`,
-			`Carobquay-Request-Id: ${id}`,
-			`Carobquay-Deadline-Milliseconds: ${deadline}`,
+			`${requestIdHeader}: ${id}`,
+			`${deadlineHeader}: ${deadline}`,
 			...fields,
 			'',
 			''].join('\r\n');
--- a/soak/engine-floods.ts
+++ b/soak/engine-floods.ts
@@ -6,6 +6,7 @@
 import {Buffer} from 'node:buffer';
 import http from 'node:http';
 import type net from 'node:net';
+import {loadHeader, requestIdHeader, signatureHeader} from '../platform/stand-in/deployment.js';
 import {eventText, plainResponseBody} from '../platform/stand-in/engine.js';
 import {writeWithoutEnd} from './endless-writer.js';
 import type {EngineFlood, StoreFlood} from './flood-faults.js';
@@ -83,7 +84,7 @@
 					url: request.url ?? '', requestId, customer: request.headers['carobquay-tenant']?.toString(), hasPrompt, body,
 				});
 				const fields = {
-					'Carobquay-Server-Stamp': 'flood', 'Carobquay-Request-Id': requestId, 'Carobquay-Server-Load': '1,0,8', ...(hasPrompt && {'Content-Type': 'text/event-stream'}),
+					[signatureHeader]: 'flood', [requestIdHeader]: requestId, [loadHeader]: '1,0,8', ...(hasPrompt && {'Content-Type': 'text/event-stream'}),
 				};
 				if (isEndless) {
 					const head = `HTTP/1.1 200 OK\r\n${Object.entries(fields).map(([name, value]) => `${name}: ${value}\r\n`).join('')}`;
--- a/soak/floods.ts
+++ b/soak/floods.ts
@@ -5,6 +5,7 @@
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {match} from 'ts-pattern';
+import {orderPath} from '../platform/stand-in/deployment.js';
 import {CallerFloods} from './caller-floods.js';
 import {type ArrivedCall, EndlessServer, wholeAnswer} from './engine-floods.js';
 import type {Engines} from './engines.js';
@@ -119,7 +120,7 @@
 	async #floodFromEngine({engine: number, flood, calls, duration}: {engine: number; flood: EngineFlood; calls: FloodedCalls; duration: number}): Promise<void> {
 		const engine = this.#engines.at(number);
 		const server = new EndlessServer(flood, call => {
-			if (call.url === '/api/order') {
+			if (call.url === orderPath) {
 				if (calls === 'requests' || call.body.includes('release')) {
 					engine.model.applyOrder(call.body);
 				}
--- a/src/memory/memory-limits.ts
+++ b/src/memory/memory-limits.ts
@@ -14,8 +14,11 @@
 /** Share of the free heap that requests in progress may take; the rest is for the product's own state and for garbage. */
 const headShare = 0.4;
 
-/** Share of the ceiling for answers that are held until they are complete, and for answers that callers have not read. */
-const answerShare = 0.5;
+/** Share of the ceiling for answers that are held until they are complete; they are copied once then, and count as unread. */
+const bufferedShare = 0.2;
+
+/** Share of the ceiling for answers that callers have not read. */
+const unreadShare = 0.4;
 
 /** Share of the ceiling for bodies of requests, which are copied once when they are complete. */
 const bodyShare = 0.6;
@@ -46,8 +49,8 @@
 		sources: {
 			'request-heads': Math.floor(Math.max(0, heapLimit - heapAtStart) * headShare),
 			'request-bodies': Math.floor(ceiling * bodyShare),
-			'buffered-answers': Math.floor(ceiling * answerShare),
-			'unread-answers': Math.floor(ceiling * answerShare),
+			'buffered-answers': Math.floor(ceiling * bufferedShare),
+			'unread-answers': Math.floor(ceiling * unreadShare),
 			'relayed-bytes': Math.floor(ceiling * transferShare),
 			tables: Math.floor(ceiling * transferShare),
 		},
