fix(telemetry): the heap's gauges have the names that the runtime's metrics usually have

Change: nodejs_heap_size_used_bytes and nodejs_heap_size_limit_bytes, beside process_resident_memory_bytes, as in the client library's own set.

--- a/src/serving/serving-metrics.ts
+++ b/src/serving/serving-metrics.ts
@@ -126,8 +126,8 @@
 			['carobquay_store_era', 'Era of the store, which rises when it comes back from an older copy.', readers.storeEra],
 			['carobquay_store_age_seconds', 'Time since the store last answered.', readers.storeAge],
 			['process_resident_memory_bytes', 'Resident memory of the process.', () => residentBytes() ?? Number.NaN],
-			['carobquay_heap_used_bytes', 'Heap of the runtime in use.', () => v8.getHeapStatistics().used_heap_size],
-			['carobquay_heap_limit_bytes', 'Limit of the heap, at which the runtime aborts the process.', () => v8.getHeapStatistics().heap_size_limit],
+			['nodejs_heap_size_used_bytes', 'Heap of the runtime in use.', () => v8.getHeapStatistics().used_heap_size],
+			['nodejs_heap_size_limit_bytes', 'Limit of the heap, at which the runtime aborts the process.', () => v8.getHeapStatistics().heap_size_limit],
 			['carobquay_log_lines_dropped', 'Log lines left out since the last count was written.', readers.droppedLineCount],
 		];
 		for (const [name, help, read] of definitions) {
