feat(watch): instances state when the store last answered them

Change: watchers send the time since the store's last answer for each table. Lines store.duty (confirmed_age), store.unconfirmed and store.confirmed, gauge carobquay_store_confirmation_age_seconds. Builds before leave the times out and ignore them. No decision uses them yet.

--- a/src/peers/__tests__/peer-datagram.property.test.ts
+++ b/src/peers/__tests__/peer-datagram.property.test.ts
@@ -25,7 +25,7 @@
 const datagram = fc.record({
 	origin: fc.constant('front-1~k3'),
 	replication: fc.option(fc.record({
-		isStoreWatcher: fc.boolean(), canReachStore: fc.boolean(), isRecoveringFromOutage: fc.boolean(), digests: fc.tuple(digest, digest),
+		isStoreWatcher: fc.boolean(), canReachStore: fc.boolean(), isRecoveringFromOutage: fc.boolean(), digests: fc.tuple(digest, digest), confirmationAges: fc.tuple(count, count),
 		deltas: fc.array(fc.record({
 			table: fc.constantFrom(0 as const, 1 as const), baseChecksum: count, digest, rows: fc.array(row, {maxLength: 5}),
 		}), {maxLength: 2}),
--- a/src/peers/__tests__/peer-datagram.test.ts
+++ b/src/peers/__tests__/peer-datagram.test.ts
@@ -11,6 +11,7 @@
 	origin: 'front-1~k3',
 	replication: {
 		isStoreWatcher: true, canReachStore: false, isRecoveringFromOutage: true, digests: [{era: 0, version: 7, checksum: 123}, {era: 0, version: 9, checksum: 4_000_000_000}],
+		confirmationAges: [20, 1500],
 		deltas: [{
 			table: 1, baseChecksum: 5, digest: {era: 0, version: 9, checksum: 4_000_000_000}, rows: [{key: 'i-1', value: 'abc', removed: false}, {key: 'i-2', value: undefined, removed: true}],
 		}],
--- a/src/peers/__tests__/peer-membership.test.ts
+++ b/src/peers/__tests__/peer-membership.test.ts
@@ -197,3 +197,19 @@
 	const silentAt = Array.from({length: 8}, (_, index) => wokenAt + (index * heartbeatInterval)).find(now => membership.checkSilence(now).silent.length > 0);
 	t.true(silentAt !== undefined && silentAt > wokenAt && silentAt <= wokenAt + detectionTarget, `silent at ${silentAt}`);
 });
+
+// Guards against an answer of the store that counts as new for as long as the watcher's next poll takes.
+const confirmationCases: Array<{name: string; role: Parameters<PeerMembership['recordMessage']>[2]; confirmedAt: readonly number[]}> = [
+	{name: 'ages', role: {isStoreWatcher: true, canReachStore: true, confirmationAges: [400, 2500]}, confirmedAt: [9600, 7500]},
+	{name: 'no ages, as earlier builds, and reaches the store', role: {isStoreWatcher: true, canReachStore: true}, confirmedAt: [10_000, 10_000]},
+	{name: 'no ages and does not reach the store', role: {isStoreWatcher: true, canReachStore: false}, confirmedAt: [Number.NEGATIVE_INFINITY, Number.NEGATIVE_INFINITY]},
+	{name: 'nothing of its tables', role: undefined, confirmedAt: [Number.NEGATIVE_INFINITY, Number.NEGATIVE_INFINITY]},
+];
+
+for (const {name, role, confirmedAt} of confirmationCases) {
+	test(`when the store last answered a peer that states ${name}`, t => {
+		const membership = new PeerMembership('10.0.0.1');
+		membership.recordMessage('10.0.0.2', 'b~1', role, 10_000);
+		t.deepEqual(membership.alive.map(peer => peer.confirmedAt), [confirmedAt]);
+	});
+}
--- a/src/peers/peer-datagram.ts
+++ b/src/peers/peer-datagram.ts
@@ -13,6 +13,7 @@
 import type {RelayOffer} from '../relay/relay-peers.js';
 import type {RowChange} from '../watch/row-source.js';
 import type {TableDigest} from '../watch/table-replica.js';
+import type {TableTimes} from '../watch/store-watcher-selection.js';
 import type {ReplicationStatus} from '../watch/table-replication.js';
 import {
 	asCount, asList, asNumber, asText, DatagramError,
@@ -199,7 +200,7 @@
 	}
 }
 
-function encodeReplication({isStoreWatcher, canReachStore, isRecoveringFromOutage, digests, deltas}: ReplicationStatus): unknown[] {
+function encodeReplication({isStoreWatcher, canReachStore, isRecoveringFromOutage, digests, confirmationAges, deltas}: ReplicationStatus): unknown[] {
 	return [
 		isStoreWatcher,
 		canReachStore,
@@ -208,10 +209,11 @@
 		deltas.map(({table, baseChecksum, digest, rows}) => [
 			table, baseChecksum, encodeDigest(digest), rows.map(row => encodeRow(row)),
 		]),
+		...(confirmationAges ? [confirmationAges.map(age => Math.round(age))] : []),
 	];
 }
 
-function decodeReplication([isStoreWatcher, canReachStore, isRecoveringFromOutage, digests, deltas]: readonly unknown[]): ReplicationStatus {
+function decodeReplication([isStoreWatcher, canReachStore, isRecoveringFromOutage, digests, deltas, confirmationAges]: readonly unknown[]): ReplicationStatus {
 	const [first, second] = asList(digests, 'digests').map(digest => decodeDigest(digest));
 	if (!first || !second) {
 		throw new DatagramError('field digests: expected two digests');
@@ -222,10 +224,15 @@
 		canReachStore: canReachStore === true,
 		isRecoveringFromOutage: isRecoveringFromOutage === true,
 		digests: [first, second],
+		...(confirmationAges === undefined ? {} : {confirmationAges: decodeConfirmationAges(asList(confirmationAges, 'confirmation ages'))}),
 		deltas: asList(deltas, 'deltas').flatMap(delta => decodeDelta(asList(delta, 'delta'))),
 	};
 }
 
+function decodeConfirmationAges([first, second]: readonly unknown[]): TableTimes {
+	return [Math.max(0, asNumber(first, 'first confirmation age')), Math.max(0, asNumber(second, 'second confirmation age'))];
+}
+
 /** Decodes a delta, or leaves it out where a row cannot be read: the digest then tells the receiver to fetch the table. */
 function decodeDelta([table, baseChecksum, digest, rows]: readonly unknown[]): ReplicationStatus['deltas'] {
 	const decodedRows = asList(rows, 'rows').map(row => decodeRow(row));
--- a/src/peers/peer-membership.ts
+++ b/src/peers/peer-membership.ts
@@ -10,7 +10,7 @@
  */
 import {sortOnRing} from '../placement/engine-subsetting.js';
 import type {RelayOffer} from '../relay/relay-peers.js';
-import type {PeerStatus} from '../watch/store-watcher-selection.js';
+import type {PeerStatus, TableTimes} from '../watch/store-watcher-selection.js';
 
 /** Time in milliseconds between two rounds of heartbeats. */
 export const heartbeatInterval = 500;
@@ -72,7 +72,18 @@
 export type PeerChange = 'new' | 'restarted' | 'regained' | 'none';
 
 /** Status that a message may carry. */
-export type PeerRole = Pick<PeerStatus, 'isStoreWatcher' | 'canReachStore'> & {relayOffer?: RelayOffer | undefined};
+export type PeerRole = Pick<PeerStatus, 'isStoreWatcher' | 'canReachStore'> & {confirmationAges?: TableTimes | undefined; relayOffer?: RelayOffer | undefined};
+
+const neverConfirmed: TableTimes = [Number.NEGATIVE_INFINITY, Number.NEGATIVE_INFINITY];
+
+/** When the store last answered a peer. Earlier builds do not state it, and count as answered while they say that they reach the store. */
+function confirmationTimes({canReachStore, confirmationAges}: PeerRole, now: number): TableTimes {
+	if (confirmationAges) {
+		return [now - confirmationAges[0], now - confirmationAges[1]];
+	}
+
+	return canReachStore ? [now, now] : neverConfirmed;
+}
 
 /** Membership as one instance sees it; all times are monotonic, in milliseconds. */
 export class PeerMembership {
@@ -126,7 +137,7 @@
 		const peer = this.#peers.get(ip);
 		if (!peer) {
 			this.#peers.set(ip, {
-				ip, origin, lastMessageAt: now, isSilent: false, isStoreWatcher: role?.isStoreWatcher ?? false, canReachStore: role?.canReachStore ?? false, relayOffer: role?.relayOffer,
+				ip, origin, lastMessageAt: now, isSilent: false, isStoreWatcher: role?.isStoreWatcher ?? false, canReachStore: role?.canReachStore ?? false, confirmedAt: role ? confirmationTimes(role, now) : neverConfirmed, relayOffer: role?.relayOffer,
 			});
 			this.#ring = undefined;
 			return {change: 'new', previousOrigin: undefined};
@@ -140,6 +151,7 @@
 		if (role) {
 			peer.isStoreWatcher = role.isStoreWatcher;
 			peer.canReachStore = role.canReachStore;
+			peer.confirmedAt = confirmationTimes(role, now);
 			if (peer.relayOffer?.failureDomain !== role.relayOffer?.failureDomain) {
 				// Which engines an instance uses follows from its failure domain.
 				this.#ring = undefined;
--- a/src/serving/serving-instance.ts
+++ b/src/serving/serving-instance.ts
@@ -174,6 +174,7 @@
 				this.#engines.onPeerOutage();
 			},
 			isRecoveringFromOutage: () => this.#engines.isRecoveringFromOutage,
+			changeLimit: Math.min(bounds.propagationLimit, bounds.drainLimit ?? Number.POSITIVE_INFINITY),
 			onEra: era => {
 				this.#registration.recordEra(era);
 			},
@@ -381,6 +382,7 @@
 			coldWithheld: () => this.#coldEngines.withheld,
 			quarantinedFingerprints: () => this.#quarantine.size,
 			storeEra: () => this.#tables[0].replica.digest.era,
+			storeConfirmationAge: () => this.#replication.timeSinceConfirmation / 1000,
 			storeAge: () => Math.max(...this.#tables.map(({watch}) => watch.timeSinceLastAnswer)) / 1000,
 			droppedLineCount: this.#options.droppedLineCount,
 		});
--- a/src/serving/serving-metrics.ts
+++ b/src/serving/serving-metrics.ts
@@ -66,8 +66,9 @@
 	quarantinedFingerprints: () => number;
 	/** Era of the store; 0 before the first read. */
 	storeEra: () => number;
-	/** Time in seconds since the store last answered. */
+	/** Time in seconds since the store last answered this instance, and since it last answered any instance that this one hears. */
 	storeAge: () => number;
+	storeConfirmationAge: () => number;
 	droppedLineCount: () => number;
 };
 
@@ -124,7 +125,8 @@
 			['carobquay_engine_paths_broken', 'Engines that this instance reaches through other instances alone.', readers.brokenPaths],
 			['carobquay_quarantined', 'Fingerprints of requests that are kept from engines, as engines crashed on them.', readers.quarantinedFingerprints],
 			['carobquay_store_era', 'Era of the store, which rises when it comes back from an older copy.', readers.storeEra],
-			['carobquay_store_age_seconds', 'Time since the store last answered.', readers.storeAge],
+			['carobquay_store_age_seconds', 'Time since the store last answered this instance.', readers.storeAge],
+			['carobquay_store_confirmation_age_seconds', 'Time since the store last answered this instance or one that it hears.', readers.storeConfirmationAge],
 			['process_resident_memory_bytes', 'Resident memory of the process.', () => residentBytes() ?? Number.NaN],
 			['nodejs_heap_size_used_bytes', 'Heap of the runtime in use.', () => v8.getHeapStatistics().used_heap_size],
 			['nodejs_heap_size_limit_bytes', 'Limit of the heap, at which the runtime aborts the process.', () => v8.getHeapStatistics().heap_size_limit],
--- a/src/watch/__tests__/store-era.test.ts
+++ b/src/watch/__tests__/store-era.test.ts
@@ -171,7 +171,7 @@
 	const replication = new TableReplication({
 		tables: [{name: 'one', ...one}, {name: 'other', ...other}],
 		ip: '10.0.0.1', log, peers: (): PeerStatus[] => [], fetchSnapshot: async ip => fetchSnapshot(ip),
-		onPeerOutage: () => undefined, isRecoveringFromOutage: () => false, random: () => 0,
+		onPeerOutage: () => undefined, isRecoveringFromOutage: () => false, changeLimit: 3000, random: () => 0,
 		onEra(era) {
 			eras.push(era);
 		},
@@ -232,7 +232,7 @@
 			async fetchSnapshot() {
 				throw new StoreError('fetch', 'not in this test');
 			},
-			onPeerOutage: () => undefined, isRecoveringFromOutage: () => false, onEra: () => undefined, random: () => 0,
+			onPeerOutage: () => undefined, isRecoveringFromOutage: () => false, changeLimit: 3000, onEra: () => undefined, random: () => 0,
 		});
 		t.teardown(() => {
 			replication.close();
--- a/src/watch/__tests__/table-replication.test.ts
+++ b/src/watch/__tests__/table-replication.test.ts
@@ -83,7 +83,7 @@
 
 function createPeers(count: number, peer: Partial<PeerStatus>): PeerStatus[] {
 	return Array.from({length: count}, (_, index) => ({
-		ip: `10.0.0.${index + 1}`, lastMessageAt: 10_000, canReachStore: true, isStoreWatcher: true, ...peer,
+		ip: `10.0.0.${index + 1}`, lastMessageAt: 10_000, canReachStore: true, isStoreWatcher: true, confirmedAt: [10_000, 10_000], ...peer,
 	}));
 }
 
--- a/src/watch/store-watcher-selection.ts
+++ b/src/watch/store-watcher-selection.ts
@@ -26,8 +26,13 @@
 	canReachStore: boolean;
 	/** Whether it watches the store, even if the store does not answer. */
 	isStoreWatcher: boolean;
+	/** Monotonic times in milliseconds at which the store last answered it, for each table; `-Infinity` if it has not said so. */
+	confirmedAt: TableTimes;
 };
 
+/** One time for each table. */
+export type TableTimes = readonly [number, number];
+
 /** Input of one decision. */
 export type StoreWatchInput = {
 	ip: string;
--- a/src/watch/table-replication.ts
+++ b/src/watch/table-replication.ts
@@ -9,7 +9,7 @@
 import type {TableSnapshot, TableIndex} from '../peers/table-transfer.js';
 import type {EventLog} from '../telemetry/log.js';
 import {
-	type StoreWatchReason, type PeerStatus, storeWatchReason, isWatching,
+	type StoreWatchReason, type PeerStatus, storeWatchReason, isWatching, type TableTimes,
 } from './store-watcher-selection.js';
 import {initialPosition} from './store-position.js';
 import type {TableReplica, TableDelta, TableDigest} from './table-replica.js';
@@ -28,6 +28,8 @@
 	/** Whether entries may be missing because they expired during an outage. */
 	isRecoveringFromOutage: boolean;
 	digests: readonly [TableDigest, TableDigest];
+	/** Times in milliseconds since the store last answered the sender, for each table; undefined where it does not watch the store, or is of an earlier build. */
+	confirmationAges?: TableTimes | undefined;
 	/** Changes that the sender has just received from the store. */
 	deltas: ReadonlyArray<TableDelta & {table: TableIndex}>;
 };
@@ -48,6 +50,8 @@
 	onEra: (era: number) => void;
 	/** Whether this instance has just been through a store outage. */
 	isRecoveringFromOutage: () => boolean;
+	/** Time in milliseconds within which a change must be in force. */
+	changeLimit: number;
 	/** @default Math.random */
 	random?: () => number;
 };
@@ -62,6 +66,8 @@
 	#era: number | undefined;
 	#lastDecisionAt = performance.now();
 	#decisionTimer: NodeJS.Timeout | undefined;
+	/** Whether the store has answered no watcher for so long that a change may have been missed. */
+	#isUnconfirmed = false;
 
 	constructor(options: TableReplicationOptions) {
 		this.#options = options;
@@ -76,9 +82,17 @@
 			canReachStore: isWatching(this.#watchReason) && first.watch.isStoreReachable && second.watch.isStoreReachable,
 			isRecoveringFromOutage: this.#options.isRecoveringFromOutage(),
 			digests: [first.replica.digest, second.replica.digest],
+			confirmationAges: this.#confirmationAges,
 		};
 	}
 
+	/** Time in milliseconds since the store last answered a watcher that this instance hears, or itself; for the table whose answer is older. */
+	get timeSinceConfirmation(): number {
+		const peers = this.#options.peers();
+		const confirmedAt = this.#options.tables.map(({watch}, table) => Math.max(watch.lastAnswerAt, ...peers.map(peer => peer.confirmedAt[table]!)));
+		return performance.now() - Math.min(...confirmedAt);
+	}
+
 	/** Monotonic time in milliseconds at which the store, or a peer with news from it, last confirmed the table of engines. */
 	get enginesConfirmedAt(): number {
 		const {replica, watch} = this.#options.tables[1];
@@ -171,6 +185,22 @@
 		}
 	}
 
+	get #confirmationAges(): TableTimes | undefined {
+		const [first, second] = this.#options.tables;
+		const now = performance.now();
+		const ages: TableTimes = [now - first.watch.lastAnswerAt, now - second.watch.lastAnswerAt];
+		return isWatching(this.#watchReason) && ages.every(age => Number.isFinite(age)) ? ages : undefined;
+	}
+
+	/** Reports that a change may have been missed, and that the store has been heard of again. */
+	#reportConfirmation(age: number): void {
+		const isUnconfirmed = age > this.#options.changeLimit;
+		if (isUnconfirmed !== this.#isUnconfirmed) {
+			this.#isUnconfirmed = isUnconfirmed;
+			this.#options.log.info(isUnconfirmed ? 'store.unconfirmed' : 'store.confirmed', {age: Math.round(age), duty: this.#watchReason, watchers: this.#options.peers().filter(({isStoreWatcher}) => isStoreWatcher).length});
+		}
+	}
+
 	/** Decides whether to watch the store. */
 	#updateWatchReason(): void {
 		const {ip, peers, tables, log} = this.#options;
@@ -179,6 +209,8 @@
 		}
 
 		const now = performance.now();
+		const confirmationAge = this.timeSinceConfirmation;
+		this.#reportConfirmation(confirmationAge);
 		const currentPeers = peers();
 		const reason = storeWatchReason({
 			ip, peers: currentPeers, now, randomValue: this.#random(), timeSinceLastDecision: now - this.#lastDecisionAt,
@@ -190,7 +222,9 @@
 			return;
 		}
 
-		log.info('store.duty', {duty: reason, before: this.#watchReason, peers: currentPeers.length});
+		log.info('store.duty', {
+			duty: reason, before: this.#watchReason, peers: currentPeers.length, confirmed_age: Math.round(confirmationAge),
+		});
 		this.#watchReason = reason;
 		for (const {watch} of tables) {
 			watch.setActive(isWatching(reason));
--- a/src/watch/table-watch.ts
+++ b/src/watch/table-watch.ts
@@ -131,6 +131,11 @@
 		return performance.now() - this.#lastAnswerAt;
 	}
 
+	/** Monotonic time in milliseconds at which the store last answered; `-Infinity` if it never has. */
+	get lastAnswerAt(): number {
+		return this.#era === undefined ? Number.NEGATIVE_INFINITY : this.#lastAnswerAt;
+	}
+
 	/** Time in milliseconds since a call to the store last failed; infinite if none has. */
 	get timeSinceLastFailure(): number {
 		return performance.now() - this.#lastFailureAt;
