fix(watch): instances ask the store themselves when no watcher has had an answer of late

What callers saw: a change that had been confirmed was not in force in time; requests with a key that had been taken away were served (CONFIG).

Cause: in a large fleet five instances watch the store, and the others took it for reachable as long as one of the five said so. A watcher says so until its own poll fails, up to 11 s after the store's last answer. An instance that the store did answer waited for the last of the five.

Change: what counts is when the store last answered any watcher that an instance hears, for each table. Some instances ask at a little more than the usual age, all ask in time for the limit; the first one that gets an answer tells the others and goes on until others do. A store that does not answer is asked for one table, and again after the stability window. The five poll in turns that are short enough for this. The same belief without an age chose how soon a watcher retries; it now needs an answer to a peer since the own failure.

--- a/src/serving/serving-instance.ts
+++ b/src/serving/serving-instance.ts
@@ -11,7 +11,7 @@
 import {PeerMessenger} from '../peers/peer-messenger.js';
 import {delayUntilInputIsHandled} from '../request/time-limit.js';
 import {QuarantineGossip} from '../peers/quarantine-gossip.js';
-import {fetchTableSnapshot, type TableIndex, TableServer} from '../peers/table-transfer.js';
+import {fetchTableSnapshot, TableServer} from '../peers/table-transfer.js';
 import {ColdEngines} from '../placement/cold-engines.js';
 import {DomainLoads} from '../placement/domain-loads.js';
 import {EngineEligibility} from '../placement/engine-eligibility.js';
@@ -30,12 +30,8 @@
 import {ActiveConfiguration} from '../watch/active-configuration.js';
 import {EngineCatalogue} from '../watch/engine-catalogue.js';
 import {Evacuations} from '../watch/evacuations.js';
-import {TableReplica, type TableReplicaOptions} from '../watch/table-replica.js';
 import {type ReplicatedTable, TableReplication} from '../watch/table-replication.js';
-import {maximumPollGap, pollWait} from '../watch/poll-schedule.js';
-import {
-	ListenerGroup, maximumChangeBatchDelay, type TableListener, TableWatch,
-} from '../watch/table-watch.js';
+import {ListenerGroup} from '../watch/table-watch.js';
 import {Admission} from './admission.js';
 import {AnswerDurations} from './answer-durations.js';
 import {CallerListener} from './caller-listener.js';
@@ -48,6 +44,7 @@
 import {PeerDiscovery} from './peer-discovery.js';
 import {PrefillShares} from './prefill-shares.js';
 import {PromptQueue} from './prompt-queue.js';
+import {changeLimits, createReplicatedTable} from './replicated-tables.js';
 import {RequestExplainer} from './request-explanation.js';
 import {RetryBudget} from './retry-budget.js';
 import type {ServingInstanceOptions} from './serving-instance-options.js';
@@ -164,9 +161,16 @@
 				this.#replication.receive(peer, status);
 			},
 		});
-		const configurationTable = this.#createReplicatedTable(0, tables.configuration, new ListenerGroup([this.#evacuations, this.#configuration]));
-		const engineTable = this.#createReplicatedTable(1, {...tables.engines, statedTime: (id, value) => this.#coldEngines.hasColdLimit(id) ? tables.engines.statedTime(id, value) : 0}, this.#engines);
-		this.#tables = [configurationTable, engineTable];
+		const limits = changeLimits(bounds);
+		const tableOptions = {
+			store, log, ip, bounds, pollGap: limits.confirmationTimes.pollGap, messenger: this.#peerMessenger, replication: () => this.#replication,
+		};
+		this.#tables = [
+			createReplicatedTable(0, {...tables.configuration, listener: new ListenerGroup([this.#evacuations, this.#configuration])}, tableOptions),
+			createReplicatedTable(1, {
+				...tables.engines, listener: this.#engines, statedTime: (id, value) => this.#coldEngines.hasColdLimit(id) ? tables.engines.statedTime(id, value) : 0,
+			}, tableOptions),
+		];
 		this.#replication = new TableReplication({
 			tables: this.#tables, ip, log, peers: () => this.#peerMessenger.alivePeers,
 			fetchSnapshot: async (peer, table) => fetchTableSnapshot(peer, options.peerPort, table, this.#memory),
@@ -174,7 +178,10 @@
 				this.#engines.onPeerOutage();
 			},
 			isRecoveringFromOutage: () => this.#engines.isRecoveringFromOutage,
-			changeLimit: Math.min(bounds.propagationLimit, bounds.drainLimit ?? Number.POSITIVE_INFINITY),
+			...limits,
+			onStoreReached: () => {
+				this.#peerMessenger.announce();
+			},
 			onEra: era => {
 				this.#registration.recordEra(era);
 			},
@@ -318,29 +325,6 @@
 		}
 	}
 
-	#createReplicatedTable(index: TableIndex, {table: name, ...content}: {table: string} & Pick<TableReplicaOptions, 'fingerprint' | 'statedTime'>, listener: TableListener): ReplicatedTable {
-		const replica = new TableReplica({
-			...content, listener,
-			onStoreChange: delta => {
-				this.#peerMessenger.broadcastDelta(index, delta);
-			},
-		});
-		const {store, log, ip, bounds: {stabilityWindow, propagationLimit, evacuationLimit}} = this.#options;
-		const maximumGap = maximumPollGap({
-			stabilityWindow, propagationLimit, evacuationLimit, responseTimeout: store.responseTimeout, changeBatchDelay: maximumChangeBatchDelay,
-		});
-		const otherWatchers = () => this.#peerMessenger.alivePeers.filter(({canReachStore}) => canReachStore).map(peer => peer.ip);
-		const watch = new TableWatch({
-			source: store, table: name, listener: replica, log,
-			pollWait: (isAfterChange, isFirst) => pollWait({
-				ip, otherWatchers: otherWatchers(), maximumGap, isAfterChange, isFirst,
-			}),
-			watcherCount: () => 1 + otherWatchers().length,
-			canPeersReachStore: () => otherWatchers().length > 0,
-		});
-		return {name, replica, watch};
-	}
-
 	#handleEngineChange(id: string, record: EngineRecord | undefined, hasRestarted: boolean): void {
 		if (record === undefined) {
 			this.#coldEngines.recordRemoval(id);
--- a/src/watch/__tests__/store-era.test.ts
+++ b/src/watch/__tests__/store-era.test.ts
@@ -8,6 +8,7 @@
 import type {StorePosition} from '../store-position.js';
 import type {PeerStatus} from '../store-watcher-selection.js';
 import {TableReplica} from '../table-replica.js';
+import {confirmationTimes} from '../confirmation-times.js';
 import {type ReplicationStatus, TableReplication} from '../table-replication.js';
 import {TableWatch} from '../table-watch.js';
 
@@ -165,13 +166,15 @@
 	t.is(source.calls.filter(call => call === 'read').length, 2);
 });
 
+const limits = {changeLimit: 3000, confirmationTimes: confirmationTimes({changeLimit: 3000, stabilityWindow: 4000}), onStoreReached: () => undefined};
+
 function createReplication(t: ExecutionContext, fetchSnapshot: (ip: string) => TableSnapshot) {
 	const [one, other] = [createInstance(t), createInstance(t)];
 	const eras: number[] = [];
 	const replication = new TableReplication({
 		tables: [{name: 'one', ...one}, {name: 'other', ...other}],
 		ip: '10.0.0.1', log, peers: (): PeerStatus[] => [], fetchSnapshot: async ip => fetchSnapshot(ip),
-		onPeerOutage: () => undefined, isRecoveringFromOutage: () => false, changeLimit: 3000, random: () => 0,
+		onPeerOutage: () => undefined, isRecoveringFromOutage: () => false, ...limits, random: () => 0,
 		onEra(era) {
 			eras.push(era);
 		},
@@ -232,7 +235,7 @@
 			async fetchSnapshot() {
 				throw new StoreError('fetch', 'not in this test');
 			},
-			onPeerOutage: () => undefined, isRecoveringFromOutage: () => false, changeLimit: 3000, onEra: () => undefined, random: () => 0,
+			onPeerOutage: () => undefined, isRecoveringFromOutage: () => false, ...limits, onEra: () => undefined, random: () => 0,
 		});
 		t.teardown(() => {
 			replication.close();
--- a/src/watch/__tests__/table-replication.test.ts
+++ b/src/watch/__tests__/table-replication.test.ts
@@ -1,6 +1,10 @@
 import test from 'ava';
 import type {RowChange} from '../row-source.js';
-import {type PeerStatus, storeWatchReason} from '../store-watcher-selection.js';
+import {hashPosition} from '../../placement/hash-position.js';
+import {confirmationTimes} from '../confirmation-times.js';
+import {
+	type PeerStatus, storeWatchReason, type StoreWatchInput, type StoreWatchReason,
+} from '../store-watcher-selection.js';
 import type {StorePosition} from '../store-position.js';
 import {TableReplica, type TableDelta} from '../table-replica.js';
 
@@ -89,24 +93,53 @@
 
 const now = 10_200;
 
-const cases: Array<{name: string; peers: PeerStatus[]; randomValue?: number; expected: Set<string>}> = [
+const times = confirmationTimes({changeLimit: 3000, stabilityWindow: 4000});
+
+type Decision = Partial<Omit<StoreWatchInput, 'ip' | 'peers' | 'times'>>;
+
+function decide(ip: string, peers: readonly PeerStatus[], decision: Decision = {}): StoreWatchReason {
+	return storeWatchReason({
+		ip, peers, now, randomValue: 0.5, timeSinceLastDecision: 250, current: {reason: 'none', since: 0}, confirmationAge: 200,
+		timeSinceLastFailure: Number.POSITIVE_INFINITY, times, ...decision,
+	});
+}
+
+const cases: Array<{name: string; peers: PeerStatus[]; decision?: Decision; expected: Set<StoreWatchReason>}> = [
 	{name: 'a small fleet', peers: createPeers(8, {}), expected: new Set(['small-fleet'])},
 	{name: 'a fleet whose watchers reach the store', peers: createPeers(70, {}), expected: new Set(['none', 'elected'])},
 	{name: 'a fleet without a known watcher', peers: createPeers(70, {isStoreWatcher: false}), expected: new Set(['no-follower', 'elected'])},
 	{name: 'a fleet whose watchers have stopped sending messages', peers: createPeers(70, {lastMessageAt: 9000}), expected: new Set(['no-follower', 'elected'])},
 	{
-		name: 'an outage, with a random value that selects a probe', peers: createPeers(70, {canReachStore: false}), randomValue: 0, expected: new Set(['outage-try', 'elected']),
+		name: 'an outage, with a random value that selects a probe', peers: createPeers(70, {canReachStore: false}), decision: {randomValue: 0}, expected: new Set(['outage-try', 'elected']),
+	},
+	{
+		name: 'an outage, with a random value that selects no probe', peers: createPeers(70, {canReachStore: false}), decision: {randomValue: 0.99}, expected: new Set(['none', 'elected']),
+	},
+	{
+		name: 'a fleet whose watchers say that they reach the store, without an answer for long', peers: createPeers(70, {}),
+		decision: {confirmationAge: times.probeAge}, expected: new Set(['unconfirmed', 'elected']),
+	},
+	{
+		name: 'the same, for an instance that the store has just refused', peers: createPeers(70, {}),
+		decision: {confirmationAge: 10_000, timeSinceLastFailure: times.retryInterval - 1}, expected: new Set(['none', 'elected']),
 	},
 	{
-		name: 'an outage, with a random value that selects no probe', peers: createPeers(70, {canReachStore: false}), randomValue: 0.99, expected: new Set(['none', 'elected']),
+		name: 'the same, for one that it refused a while ago', peers: createPeers(70, {}),
+		decision: {confirmationAge: 10_000, timeSinceLastFailure: times.retryInterval}, expected: new Set(['unconfirmed', 'elected']),
+	},
+	{
+		name: 'a fleet whose watchers have had no answer for a little longer than usual, with a random value that selects a probe', peers: createPeers(70, {}),
+		decision: {confirmationAge: times.firstProbeAge, randomValue: 0.05}, expected: new Set(['outage-try', 'elected']),
+	},
+	{
+		name: 'the same, with a random value that selects no probe', peers: createPeers(70, {}),
+		decision: {confirmationAge: times.firstProbeAge, randomValue: 0.07}, expected: new Set(['none', 'elected']),
 	},
 ];
 
-for (const {name, peers, randomValue = 0.5, expected} of cases) {
+for (const {name, peers, decision, expected} of cases) {
 	test(`reason for watching the store in ${name}`, t => {
-		const reasons = Array.from({length: 40}, (_, index) => storeWatchReason({
-			ip: `10.9.0.${index}`, peers, now, randomValue, timeSinceLastDecision: 250,
-		}));
+		const reasons = Array.from({length: 40}, (_, index) => decide(`10.9.0.${index}`, peers, decision));
 
 		t.deepEqual(reasons.filter(reason => !expected.has(reason)), []);
 	});
@@ -114,9 +147,57 @@
 
 test('all instances of a large fleet elect the same five watchers', t => {
 	const all = createPeers(70, {}).map(({ip}) => ip);
-	const elected = all.filter(ip => storeWatchReason({
-		ip, peers: createPeers(70, {}).filter(peer => peer.ip !== ip), now, randomValue: 1, timeSinceLastDecision: 250,
-	}) === 'elected');
+	const elected = all.filter(ip => decide(ip, createPeers(70, {}).filter(peer => peer.ip !== ip), {randomValue: 1}) === 'elected');
 
 	t.is(elected.length, 5);
 });
+
+/** Addresses of a large fleet in the order in which they are elected. */
+const ordered = createPeers(40, {}).map(({ip}) => ip).toSorted((one, other) => hashPosition(one) - hashPosition(other));
+const since = 5000;
+const noticeTime = (5 * times.pollGap) + 1000;
+
+// Guards against temporary watchers that all stop when they hear of each other, that go on beside each other, or that rely on watchers whose polls are not answered.
+const temporaryCases: Array<{name: string; position: number; confirmed: readonly number[]; confirmedAt: number; watchedFor: number; timeSinceLastFailure?: number; expected: StoreWatchReason}> = [
+	{
+		name: 'before the store has answered', position: 20, confirmed: [], confirmedAt: 0, watchedFor: 200, expected: 'unconfirmed',
+	},
+	{
+		name: 'whose call has failed', position: 20, confirmed: [], confirmedAt: 0, watchedFor: 200, timeSinceLastFailure: 100, expected: 'none',
+	},
+	{
+		name: 'whose call failed before it began to watch', position: 20, confirmed: [], confirmedAt: 0, watchedFor: 200, timeSinceLastFailure: 300, expected: 'unconfirmed',
+	},
+	{
+		name: 'while another one after it gets answers', position: 20, confirmed: [21], confirmedAt: since + 100, watchedFor: 200, expected: 'unconfirmed',
+	},
+	{
+		name: 'while another one before it gets answers', position: 20, confirmed: [19], confirmedAt: since + 100, watchedFor: 200, expected: 'none',
+	},
+	{
+		name: 'while another one before it had its last answer earlier', position: 20, confirmed: [19], confirmedAt: since - 100, watchedFor: 200, expected: 'unconfirmed',
+	},
+	{
+		name: 'while an elected one had one answer', position: 20, confirmed: [2], confirmedAt: since + 100, watchedFor: noticeTime - 1, expected: 'unconfirmed',
+	},
+	{
+		name: 'when the elected ones have had answers for long', position: 20, confirmed: [2], confirmedAt: since + noticeTime - 100, watchedFor: noticeTime, expected: 'none',
+	},
+	{
+		name: 'when the elected ones have had none of late', position: 20, confirmed: [2], confirmedAt: since + 100, watchedFor: noticeTime, expected: 'unconfirmed',
+	},
+];
+
+for (const {name, position, confirmed, confirmedAt, watchedFor, timeSinceLastFailure = Number.POSITIVE_INFINITY, expected} of temporaryCases) {
+	test(`reason of a temporary watcher ${name}`, t => {
+		const decidedAt = since + watchedFor;
+		const peers = ordered.filter((_, index) => index !== position).map(ip => ({
+			ip, lastMessageAt: decidedAt - 100, canReachStore: true, isStoreWatcher: true,
+			confirmedAt: confirmed.map(index => ordered[index]).includes(ip) ? [confirmedAt, confirmedAt] as const : [0, 0] as const,
+		}));
+
+		t.is(decide(ordered[position]!, peers, {
+			now: decidedAt, current: {reason: 'unconfirmed', since}, timeSinceLastFailure,
+		}), expected);
+	});
+}
--- /dev/null
+++ b/src/watch/confirmation-times.ts
@@ -0,0 +1,43 @@
+/**
+ * How old the newest answer of the store may be that an instance has heard of. An instance that does not watch the store
+ * asks it itself when it has heard of none for so long that a change could otherwise be in force too late.
+ *
+ * @module
+ */
+import {heartbeatInterval} from '../peers/peer-membership.js';
+
+/** Time in milliseconds that an instance needs to decide to ask the store, to connect, and to read both tables. */
+const readTime = 1000;
+
+/** Time in milliseconds in which the answer to a few instances reaches the others, so that these need not ask. */
+const announcementTime = 500;
+
+/** Delay in milliseconds of polls and messages that is no sign of a lost watcher. */
+const usualDelay = 250;
+
+/** Shortest time in milliseconds between two answers of the store to the fleet, whatever the limit is. */
+const minimumPollGap = 500;
+
+/** Times in milliseconds. */
+export type ConfirmationTimes = {
+	/** Longest time between the ends of two polls of the fleet. */
+	pollGap: number;
+	/** Age of the newest answer at which a few instances ask the store. */
+	firstProbeAge: number;
+	/** Age of the newest answer at which all instances ask the store. */
+	probeAge: number;
+	/** Time after a failed call in which an instance does not ask again for the age of an answer alone. */
+	retryInterval: number;
+};
+
+/**
+ * @param changeLimit - Time in milliseconds within which a change must be in force.
+ * @param stabilityWindow - Time in milliseconds after a disturbance for which nothing is asked of an instance.
+ */
+export function confirmationTimes({changeLimit, stabilityWindow}: {changeLimit: number; stabilityWindow: number}): ConfirmationTimes {
+	const pollGap = Math.max(minimumPollGap, changeLimit - readTime - announcementTime - heartbeatInterval - usualDelay);
+	const firstProbeAge = pollGap + heartbeatInterval + usualDelay;
+	return {
+		pollGap, firstProbeAge, probeAge: firstProbeAge + announcementTime, retryInterval: Math.max(readTime, stabilityWindow - readTime),
+	};
+}
--- a/src/watch/row-source.ts
+++ b/src/watch/row-source.ts
@@ -36,6 +36,8 @@
 	 * @throws {StoreError}
 	 */
 	pollChanges(table: string, version: number, wait: number, signal?: AbortSignal): Promise<VersionedRows>;
+	/** Closes connections that no call uses, as they may have gone silent; sources without connections leave it out. */
+	closeIdleConnections?(): void;
 }
 
 /** A store call failed or timed out; a write may have been applied nevertheless. */
--- a/src/watch/store-watcher-selection.ts
+++ b/src/watch/store-watcher-selection.ts
@@ -4,9 +4,10 @@
  * @module
  */
 import {hashPosition} from '../placement/hash-position.js';
+import type {ConfirmationTimes} from './confirmation-times.js';
 
-/** Most instances of a fleet in which all watch the store; up to this size their calls cost less than the delay that a lost watcher may cause. */
-const maximumSmallFleet = 12;
+/** Most peers of an instance in a fleet in which all watch the store; up to this size their calls cost less than the delay that a lost watcher may cause. */
+export const maximumSmallFleet = 12;
 
 /** Number of watchers in a larger fleet. */
 const watcherCount = 5;
@@ -17,6 +18,9 @@
 /** Mean time in milliseconds between two probes of the store by the whole fleet while no watcher reaches it; multiplied by the number of peers for each instance. */
 const outageProbeInterval = 400;
 
+/** The same while the newest answer of the store is older than usual, so that about four instances ask at each decision. */
+const firstProbeInterval = 60;
+
 /** What the selection of watchers needs to know about a peer. */
 export type PeerStatus = {
 	ip: string;
@@ -33,6 +37,9 @@
 /** One time for each table. */
 export type TableTimes = readonly [number, number];
 
+/** Why an instance watches the store; `none` if it does not. */
+export type StoreWatchReason = 'small-fleet' | 'elected' | 'no-follower' | 'unconfirmed' | 'outage-try' | 'none';
+
 /** Input of one decision. */
 export type StoreWatchInput = {
 	ip: string;
@@ -42,36 +49,81 @@
 	randomValue: number;
 	/** Time in milliseconds since the last decision. */
 	timeSinceLastDecision: number;
+	/** The reason so far, and since when it has held. */
+	current: {reason: StoreWatchReason; since: number};
+	/** Age in milliseconds of the newest answer of the store that this instance has had or heard of. */
+	confirmationAge: number;
+	/** Time in milliseconds since a call of this instance to the store last failed; infinite if none has. */
+	timeSinceLastFailure: number;
+	times: ConfirmationTimes;
 };
 
-/** Why an instance watches the store; `none` if it does not. */
-export type StoreWatchReason = 'small-fleet' | 'elected' | 'no-follower' | 'outage-try' | 'none';
-
 /** Decides whether this instance watches the store now. */
-export function storeWatchReason({ip, peers, now, randomValue, timeSinceLastDecision}: StoreWatchInput): StoreWatchReason {
+export function storeWatchReason(input: StoreWatchInput): StoreWatchReason {
+	const {ip, peers, now, current, timeSinceLastFailure, confirmationAge, times} = input;
 	if (peers.length < maximumSmallFleet) {
 		return 'small-fleet';
 	}
 
 	const ownPosition = hashPosition(ip);
-	if (peers.filter(peer => hashPosition(peer.ip) < ownPosition).length < watcherCount) {
+	const precedingPeers = peers.filter(peer => hashPosition(peer.ip) < ownPosition);
+	if (precedingPeers.length < watcherCount) {
 		return 'elected';
 	}
 
-	const recentWatchers = peers.filter(peer => peer.isStoreWatcher && now - peer.lastMessageAt <= watcherTimeout);
-	if (recentWatchers.some(({canReachStore}) => canReachStore)) {
-		return 'none';
+	if (isTemporary(current.reason)) {
+		const hasFailed = timeSinceLastFailure < now - current.since;
+		return hasFailed || isRelieved(input, precedingPeers) ? 'none' : current.reason;
 	}
 
-	if (recentWatchers.length === 0) {
+	const mayAsk = timeSinceLastFailure >= times.retryInterval;
+	if (mayAsk && confirmationAge >= times.probeAge) {
+		return 'unconfirmed';
+	}
+
+	const recentWatchers = peers.filter(peer => isRecentWatcher(peer, now));
+	if (mayAsk && recentWatchers.length === 0) {
 		return 'no-follower';
 	}
 
-	// The watchers run but cannot reach the store. The other instances probe it now and then, as the store may refuse only some instances.
-	return randomValue < timeSinceLastDecision / (peers.length * outageProbeInterval) ? 'outage-try' : 'none';
+	const isLate = confirmationAge >= times.firstProbeAge;
+	if (!isLate && recentWatchers.some(({canReachStore}) => canReachStore)) {
+		return 'none';
+	}
+
+	// Some instances probe the store now and then, as it may refuse only the watchers.
+	const interval = isLate && mayAsk ? firstProbeInterval : outageProbeInterval;
+	return input.randomValue < input.timeSinceLastDecision / (peers.length * interval) ? 'outage-try' : 'none';
 }
 
 /** Whether an instance with this reason watches the store. */
 export function isWatching(reason: StoreWatchReason): boolean {
 	return reason !== 'none';
 }
+
+/** Whether an instance with this reason watches the store only until others do. */
+export function isTemporary(reason: StoreWatchReason): boolean {
+	return reason === 'no-follower' || reason === 'unconfirmed' || reason === 'outage-try';
+}
+
+function isRecentWatcher({isStoreWatcher, lastMessageAt}: PeerStatus, now: number): boolean {
+	return isStoreWatcher && now - lastMessageAt <= watcherTimeout;
+}
+
+/**
+ * Whether others watch in place of this temporary watcher. Another temporary one does if it precedes this one and has had an
+ * answer since this one began. The elected ones do when they have had time to notice that their own polls are not answered,
+ * and still get answers often enough.
+ */
+function isRelieved({now, current, times}: StoreWatchInput, precedingPeers: readonly PeerStatus[]): boolean {
+	const inOrder = precedingPeers.toSorted((one, other) => hashPosition(one.ip) - hashPosition(other.ip));
+	const hasAnswerSinceThen = (peer: PeerStatus) => isRecentWatcher(peer, now) && Math.min(...peer.confirmedAt) > current.since;
+	if (inOrder.slice(watcherCount).some(peer => hasAnswerSinceThen(peer))) {
+		return true;
+	}
+
+	const elected = inOrder.slice(0, watcherCount).filter(peer => hasAnswerSinceThen(peer));
+	const newestAnswers = [0, 1].map(table => Math.max(...elected.map(({confirmedAt}) => confirmedAt[table]!)));
+	const noticeTime = (watcherCount * times.pollGap) + watcherTimeout;
+	return now - current.since >= noticeTime && now - Math.min(...newestAnswers) < times.firstProbeAge;
+}
--- a/src/watch/table-replication.ts
+++ b/src/watch/table-replication.ts
@@ -9,8 +9,9 @@
 import type {TableSnapshot, TableIndex} from '../peers/table-transfer.js';
 import type {EventLog} from '../telemetry/log.js';
 import {
-	type StoreWatchReason, type PeerStatus, storeWatchReason, isWatching, type TableTimes,
+	type StoreWatchReason, type PeerStatus, storeWatchReason, isTemporary, isWatching, type TableTimes,
 } from './store-watcher-selection.js';
+import type {ConfirmationTimes} from './confirmation-times.js';
 import {initialPosition} from './store-position.js';
 import type {TableReplica, TableDelta, TableDigest} from './table-replica.js';
 import type {TableWatch} from './table-watch.js';
@@ -52,6 +53,9 @@
 	isRecoveringFromOutage: () => boolean;
 	/** Time in milliseconds within which a change must be in force. */
 	changeLimit: number;
+	confirmationTimes: ConfirmationTimes;
+	/** Called when the store has answered this instance, which watches it until others do. */
+	onStoreReached: () => void;
 	/** @default Math.random */
 	random?: () => number;
 };
@@ -62,6 +66,7 @@
 	readonly #random: () => number;
 	readonly #pendingFetches = new Map<TableIndex, NodeJS.Timeout>();
 	#watchReason: StoreWatchReason = 'small-fleet';
+	#watchReasonSince = performance.now();
 	/** Latest era of the store that this instance has heard of. */
 	#era: number | undefined;
 	#lastDecisionAt = performance.now();
@@ -77,15 +82,21 @@
 	/** Included in each message of this instance. */
 	get status(): Omit<ReplicationStatus, 'deltas'> {
 		const [first, second] = this.#options.tables;
+		const canReachStore = isWatching(this.#watchReason) && first.watch.isStoreReachable && second.watch.isStoreReachable;
 		return {
-			isStoreWatcher: isWatching(this.#watchReason),
-			canReachStore: isWatching(this.#watchReason) && first.watch.isStoreReachable && second.watch.isStoreReachable,
+			isStoreWatcher: isTemporary(this.#watchReason) ? canReachStore : isWatching(this.#watchReason),
+			canReachStore,
 			isRecoveringFromOutage: this.#options.isRecoveringFromOutage(),
 			digests: [first.replica.digest, second.replica.digest],
 			confirmationAges: this.#confirmationAges,
 		};
 	}
 
+	/** Whether this instance watches the store only until others do. */
+	get isTemporaryWatcher(): boolean {
+		return isTemporary(this.#watchReason);
+	}
+
 	/** Time in milliseconds since the store last answered a watcher that this instance hears, or itself; for the table whose answer is older. */
 	get timeSinceConfirmation(): number {
 		const peers = this.#options.peers();
@@ -120,6 +131,21 @@
 		}
 	}
 
+	/** Continues with the second table once the store has answered a temporary watcher for the first one, and tells the peers when it has answered for both. */
+	handleTableRead(): void {
+		if (!this.isTemporaryWatcher) {
+			return;
+		}
+
+		for (const {watch} of this.#options.tables) {
+			watch.setActive(true);
+		}
+
+		if (this.status.canReachStore) {
+			this.#options.onStoreReached();
+		}
+	}
+
 	/** Processes the status that a peer reports: applies its deltas and schedules a fetch of each table that is behind. */
 	receive(ip: string, {digests, deltas, isRecoveringFromOutage}: ReplicationStatus): void {
 		// A store watcher sees its outages itself, and an outage that only some instances see does not affect it.
@@ -203,7 +229,7 @@
 
 	/** Decides whether to watch the store. */
 	#updateWatchReason(): void {
-		const {ip, peers, tables, log} = this.#options;
+		const {ip, peers, tables, log, confirmationTimes} = this.#options;
 		for (const {replica} of tables) {
 			this.#noteEra(replica.digest);
 		}
@@ -214,11 +240,11 @@
 		const currentPeers = peers();
 		const reason = storeWatchReason({
 			ip, peers: currentPeers, now, randomValue: this.#random(), timeSinceLastDecision: now - this.#lastDecisionAt,
+			current: {reason: this.#watchReason, since: this.#watchReasonSince}, confirmationAge, times: confirmationTimes,
+			timeSinceLastFailure: Math.min(...tables.map(({watch}) => watch.timeSinceLastFailure)),
 		});
 		this.#lastDecisionAt = now;
-		// A probe during an outage continues until its store call has ended.
-		const isProbing = this.#watchReason === 'outage-try' && reason === 'none' && tables.some(({watch}) => watch.isCalling);
-		if (reason === this.#watchReason || isProbing) {
+		if (reason === this.#watchReason) {
 			return;
 		}
 
@@ -226,7 +252,10 @@
 			duty: reason, before: this.#watchReason, peers: currentPeers.length, confirmed_age: Math.round(confirmationAge),
 		});
 		this.#watchReason = reason;
-		for (const {watch} of tables) {
+		this.#watchReasonSince = now;
+		// A store that does not answer is asked for one table only.
+		const asked = isTemporary(reason) ? tables.slice(0, 1) : tables;
+		for (const {watch} of asked) {
 			watch.setActive(isWatching(reason));
 		}
 	}
--- a/src/watch/table-watch.ts
+++ b/src/watch/table-watch.ts
@@ -93,8 +93,10 @@
 	pollWait: (isAfterChange: boolean, isFirst: boolean) => number;
 	/** Number of instances that watch the store and reach it, this one included. */
 	watcherCount: () => number;
-	/** Whether any peer reaches the store and sends its changes. */
+	/** Whether any peer has had an answer of the store since a call of this instance failed, and sends its changes. */
 	canPeersReachStore: () => boolean;
+	/** Called when the whole table has been read. */
+	onRead?: () => void;
 	/** @default Math.random */
 	random?: () => number;
 };
@@ -116,7 +118,6 @@
 	#lastAnswerAt = performance.now();
 	#lastFailureAt = Number.NEGATIVE_INFINITY;
 	#isActive = true;
-	#isCalling = false;
 	#isAfterChange = true;
 	#isFirstPoll = true;
 	#wake: (() => void) | undefined;
@@ -146,11 +147,6 @@
 		return this.#position !== undefined && this.#consecutiveFailures === 0;
 	}
 
-	/** Whether a store call or the delay that follows it is in progress. */
-	get isCalling(): boolean {
-		return this.#isCalling;
-	}
-
 	/** Resumes watching the store with a read of all rows, or pauses. */
 	setActive(isActive: boolean): void {
 		if (isActive === this.#isActive) {
@@ -159,6 +155,10 @@
 
 		this.#isActive = isActive;
 		this.#position = undefined;
+		if (isActive) {
+			this.#options.source.closeIdleConnections?.();
+		}
+
 		this.#callController.abort();
 		this.#wake?.();
 	}
@@ -206,13 +206,10 @@
 	}
 
 	async #callStore(): Promise<void> {
-		this.#isCalling = true;
 		try {
 			await (this.#position === undefined || this.#consecutiveFailures > 0 ? this.#readSnapshot() : this.#pollChanges(this.#position));
 		} catch (error) {
 			await this.#handleFailure(error);
-		} finally {
-			this.#isCalling = false;
 		}
 	}
 
@@ -236,6 +233,7 @@
 		this.#consecutiveFailures = 0;
 		this.#lastAnswerAt = performance.now();
 		listener.onSnapshot(rows, isAfterOutage, this.#position);
+		this.#options.onRead?.();
 	}
 
 	async #pollChanges(since: StorePosition): Promise<void> {
