fix(watch): an outage ends for an instance that leaves the store to its peers

What callers would see: an engine that has left is used longer than it may be.

Cause: an instance that asked the store once, in vain, and then left it to the watchers stayed in its outage for good. In an outage the entry of an engine that is missing is kept for up to 1.8 s where 3 s are allowed, on top of the time in which the change is noticed. Since instances ask more often when no watcher gets an answer, far more of them would be in that state.

Change: the outage ends with a grace period of 2 s once the store has answered a peer since the own failure.

--- a/src/watch/engine-catalogue.ts
+++ b/src/watch/engine-catalogue.ts
@@ -149,6 +149,11 @@
 		this.#options.log.warn('store.lost', {table: 'engines', known: this.#engines.size, reason});
 	}
 
+	/** Entries that go missing from now on may have expired for as long as after an outage, but peers need not hear of it. */
+	onOutageCovered(): void {
+		this.#startGracePeriod();
+	}
+
 	/** Whether the store became reachable for this instance less than a grace period ago, so that entries may be missing because they expired. */
 	get isRecoveringFromOutage(): boolean {
 		return this.#isRecoveringFromOutage;
--- a/src/watch/table-replica.ts
+++ b/src/watch/table-replica.ts
@@ -121,6 +121,10 @@
 		this.#options.listener.onStoreUnavailable(reason);
 	}
 
+	onOutageCovered(): void {
+		this.#options.listener.onOutageCovered?.();
+	}
+
 	/** The rows are unchanged as of a later position of the same era; of another era, rows are always read. */
 	onPositionConfirmed(position: StorePosition, origin: RowOrigin = 'store'): void {
 		if (position.era === this.#position.era) {
--- a/src/watch/table-replication.ts
+++ b/src/watch/table-replication.ts
@@ -223,7 +223,17 @@
 		const isUnconfirmed = age > this.#options.changeLimit;
 		if (isUnconfirmed !== this.#isUnconfirmed) {
 			this.#isUnconfirmed = isUnconfirmed;
-			this.#options.log.info(isUnconfirmed ? 'store.unconfirmed' : 'store.confirmed', {age: Math.round(age), duty: this.#watchReason, watchers: this.#options.peers().filter(({isStoreWatcher}) => isStoreWatcher).length});
+			this.#options.log.info(isUnconfirmed ? 'store.unconfirmed' : 'store.confirmed', {
+				age: Math.round(age), duty: this.#watchReason, watchers: this.#options.peers().filter(({isStoreWatcher}) => isStoreWatcher).length,
+			});
+		}
+	}
+
+	#coverOutages(confirmationAge: number): void {
+		for (const {watch} of this.#options.tables) {
+			if (!isWatching(this.#watchReason) && confirmationAge < watch.timeSinceLastFailure) {
+				watch.coverOutage();
+			}
 		}
 	}
 
@@ -244,6 +254,7 @@
 			timeSinceLastFailure: Math.min(...tables.map(({watch}) => watch.timeSinceLastFailure)),
 		});
 		this.#lastDecisionAt = now;
+		this.#coverOutages(confirmationAge);
 		if (reason === this.#watchReason) {
 			return;
 		}
--- a/src/watch/table-watch.ts
+++ b/src/watch/table-watch.ts
@@ -50,6 +50,8 @@
 	onPositionConfirmed?(position: StorePosition): void;
 	/** Called when the store stops answering; the known rows may be out of date. */
 	onStoreUnavailable(reason: string): void;
+	/** Called when the store has answered peers since then, and this instance leaves it to them. */
+	onOutageCovered?(): void;
 }
 
 /** Passes the contents of one table on to several listeners, in their order. */
@@ -77,6 +79,12 @@
 			listener.onStoreUnavailable(reason);
 		}
 	}
+
+	onOutageCovered(): void {
+		for (const listener of this.#listeners) {
+			listener.onOutageCovered?.();
+		}
+	}
 }
 
 /** Options of a `TableWatch`. */
@@ -163,6 +171,14 @@
 		this.#wake?.();
 	}
 
+	/** Ends the outage that failed calls of this instance have begun, once peers watch the store for it. */
+	coverOutage(): void {
+		if (!this.#isActive && this.#consecutiveFailures > 0) {
+			this.#consecutiveFailures = 0;
+			this.#options.listener.onOutageCovered?.();
+		}
+	}
+
 	/** Watches the table until `close`. */
 	async run(): Promise<void> {
 		while (!this.#closeController.signal.aborted) {
