--- a/xo.config.js
+++ b/xo.config.js
@@ -37,6 +37,13 @@
 			'n/prefer-global/process': 'off',
 		},
 	},
+	{
+		files: ['platform/__tests__/crowds/*.test.ts'],
+		rules: {
+			// They have a configuration of their own.
+			'ava/no-ignored-test-files': 'off',
+		},
+	},
 	{
 		files: ['src/cli.ts', 'src/front-cli.ts'],
 		rules: {
