fix(memory): garbage of received bodies is collected before it fills the machine

What callers saw: a process that many bodies at once brought over its memory was ended by the platform, with all requests in it.

Cause: the memory budget counts what is kept. Buffers that were copied, refused or given up are garbage, and the runtime, which keeps them outside of its heap, let 60 to 130 MB of them stand while connections sent at full speed.

Evidence: beside 400 chunked bodies the runtime reported 84 MB of buffers where 25 MB were kept. Collections that are asked for by type (minor, major) freed nothing: 97 and 92 MB in a loop that keeps 13 MB; a full one 21 MB.

--- a/soak/instances.ts
+++ b/soak/instances.ts
@@ -28,7 +28,7 @@
 const stackLine = /^\s*(?:\d+: |-----|\[\d+:|<---|$)/v;
 
 /** Options and arguments of a process as the deploy file has them, with a port of the harness. */
-const deployedOptions = ['--max-old-space-size=160', '--max-semi-space-size=4', '--v8-pool-size=0'];
+const deployedOptions = ['--max-old-space-size=160', '--max-semi-space-size=4', '--v8-pool-size=0', '--expose-gc'];
 const deployedArguments = ['--metrics-port', String(metricsPort)];
 
 /** Signals by which a process may end that was told to. */
--- a/src/memory/byte-collector.ts
+++ b/src/memory/byte-collector.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import {Buffer} from 'node:buffer';
+import {bufferGarbage} from './process-memory.js';
 
 /** Size in bytes of the blocks into which small chunks are copied. */
 const blockBytes = 16_384;
@@ -69,6 +70,7 @@
 
 	/** Forgets all bytes. */
 	clear(): void {
+		bufferGarbage.record(this.#length);
 		this.#pieces = [];
 		this.#block = new Uint8Array(0);
 		this.#used = 0;
--- a/src/serving/caller-listener.ts
+++ b/src/serving/caller-listener.ts
@@ -6,6 +6,7 @@
 import http from 'node:http';
 import type {Socket} from 'node:net';
 import type {MemoryBudget} from '../memory/memory-budget.js';
+import {bufferGarbage} from '../memory/process-memory.js';
 import {openServer} from '../startup/ports.js';
 import type {EventLog} from '../telemetry/log.js';
 import {LingeringConnections} from './lingering-connections.js';
@@ -96,6 +97,10 @@
 		if (!isClosing && decision !== 'dropped') {
 			this.#newest.set(socket, {request, response});
 			handler(request, response, decision === 'accepted');
+			// The handler has begun to read or to discard the body, and this must not begin before.
+			request.on('data', (chunk: Uint8Array) => {
+				bufferGarbage.record(chunk.length);
+			});
 			return;
 		}
 
