fix(serving): a head that the runtime's parser rejects is answered like one that the product rejects

What callers saw: on Node.js 20.20.2 a request with a tab in its path or a blank in the name of a header got a bare 400 without the code 1013, and none at all behind a running request. The package asks for 20.20 or later.

Cause: the parser of this runtime rejects what the one before passed on, and the listener answered what the parser rejects without a body, and not behind a complete request.

Change: the answer has the error's body, and follows the answer before it if the bytes were the head of a request. Bytes that are no request get none, as before.

--- a/src/serving/caller-listener.ts
+++ b/src/serving/caller-listener.ts
@@ -5,6 +5,9 @@
  */
 import http from 'node:http';
 import type {Socket} from 'node:net';
+import {errorBody} from '../entry/error-response.js';
+import {errorCatalogue} from '../errors/catalogue.js';
+import {CarobquayError} from '../errors/errors.js';
 import type {MemoryBudget} from '../memory/memory-budget.js';
 import {bufferGarbage} from '../memory/process-memory.js';
 import {openServer} from '../startup/ports.js';
@@ -31,6 +34,13 @@
 /** Statuses of answers to what the parser rejects, by its error codes; others get status 400. */
 const rejectionStatuses: Readonly<Record<string, number>> = {HPE_HEADER_OVERFLOW: 431, HPE_CHUNK_EXTENSIONS_OVERFLOW: 413, ERR_HTTP_REQUEST_TIMEOUT: 408};
 
+/** Status and body of the answer to a head that the parser rejects. */
+const {status: malformedStatus, remedy} = errorCatalogue[1013];
+const malformedBody = errorBody(new CarobquayError('1013', {message: `the request is not valid HTTP. ${remedy}`, ran: 'no'}), undefined);
+
+/** Codes of errors within the head of a request, other than in its first word: bytes that are no request get no answer behind a request. */
+const headErrors: ReadonlySet<string> = new Set(['HPE_INVALID_URL', 'HPE_INVALID_VERSION', 'HPE_INVALID_HEADER_TOKEN', 'HPE_INVALID_CONTENT_LENGTH', 'HPE_INVALID_TRANSFER_ENCODING', 'HPE_HEADER_OVERFLOW']);
+
 /** Error code of a connection that the client has closed within a head. */
 const endWithinHead = 'HPE_INVALID_EOF_STATE';
 
@@ -150,9 +160,13 @@
 		socket.destroy();
 	}
 
-	/** Closes a connection after the response to its newest request, or to the one before it if the body of the newest is wrong. */
+	/** Closes a connection after the response to its newest request, or to the one before it if the body of the newest is wrong. A head behind a complete request is answered after that one. */
 	#closeAfterResponses(code: string, socket: Socket, {request, response}: {request: http.IncomingMessage; response: http.ServerResponse}): void {
 		response.once('finish', () => {
+			if (request.complete && headErrors.has(code)) {
+				this.#reject(code, socket);
+			}
+
 			socket.destroySoon();
 		});
 		if (request.complete) {
@@ -168,7 +182,9 @@
 	}
 
 	#reject(code: string, socket: Socket): void {
-		const status = rejectionStatuses[code] ?? 400;
-		socket.write(`HTTP/1.1 ${status} ${http.STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`);
+		const status = rejectionStatuses[code] ?? malformedStatus;
+		const body = status === malformedStatus ? malformedBody : '';
+		const bodyFields = body === '' ? '' : `Content-Type: application/json\r\nContent-Length: ${body.length}\r\n`;
+		socket.write(`HTTP/1.1 ${status} ${http.STATUS_CODES[status]}\r\nConnection: close\r\n${bodyFields}\r\n${body}`);
 	}
 }
