fix(serving): connections whose bodies come in small chunks are read in turns

Cause: the runtime reads up to 32 times 64 KB of a connection in a row and calls back for each chunk, some 10,000 times for each read.

Change: a connection is read no further in a turn of the event loop once it has sent 512 chunks in it; those that wait are read again in order, as many as send some 4,096 chunks in one turn.

--- /dev/null
+++ b/src/serving/__tests__/body-intake.test.ts
@@ -0,0 +1,92 @@
+import {EventEmitter} from 'node:events';
+import type {Socket} from 'node:net';
+import {setImmediate as nextTurn} from 'node:timers/promises';
+import test from 'ava';
+import {BodyIntake} from '../body-intake.js';
+
+/** Connection that emits `resume` as the runtime's does, some time after the call. */
+class FakeSocket extends EventEmitter { // eslint-disable-line unicorn/prefer-event-target -- The intake takes a socket of the runtime.
+	destroyed = false;
+	isPaused = false;
+
+	pause(): this {
+		this.isPaused = true;
+		return this;
+	}
+
+	resume(): this {
+		this.isPaused = false;
+		process.nextTick(() => {
+			this.emit('resume');
+		});
+		return this;
+	}
+}
+
+function createConnections(count: number) {
+	const intake = new BodyIntake();
+	const sockets = Array.from({length: count}, () => new FakeSocket());
+	const send = (index: number, chunks: number) => {
+		for (let chunk = 0; chunk < chunks; chunk++) {
+			// Only what the intake itself uses.
+			intake.recordChunk(sockets[index] as unknown as Socket); // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+		}
+	};
+
+	return {intake, sockets, send};
+}
+
+const cases: Array<{name: string; connections: number; chunks: number; held: number; heldInNextTurn: number}> = [
+	{
+		name: 'few chunks', connections: 3, chunks: 511, held: 0, heldInNextTurn: 0,
+	},
+	{
+		name: 'many chunks of one connection', connections: 1, chunks: 10_000, held: 1, heldInNextTurn: 0,
+	},
+	{
+		name: 'many chunks of several connections', connections: 5, chunks: 10_000, held: 5, heldInNextTurn: 4,
+	},
+	{
+		name: 'some chunks of several connections', connections: 10, chunks: 1024, held: 10, heldInNextTurn: 6,
+	},
+];
+
+// Guards against a few connections whose bodies come in tiny chunks and keep the event loop from all others.
+for (const {name, connections, chunks, held, heldInNextTurn} of cases) {
+	test(`connections are read no further in a turn after ${name}`, async t => {
+		const {intake, sockets, send} = createConnections(connections);
+		for (let index = 0; index < connections; index++) {
+			send(index, chunks);
+		}
+
+		t.is(sockets.filter(({isPaused}) => isPaused).length, held);
+		await nextTurn();
+		t.is(intake.heldCount, heldInNextTurn);
+		for (let turn = 0; turn < connections; turn++) {
+			await nextTurn(); // eslint-disable-line no-await-in-loop
+		}
+
+		t.false(sockets.some(({isPaused}) => isPaused), 'all are read again');
+	});
+}
+
+test('a connection that waits for its turn is not resumed by others, until it is released', async t => {
+	const {intake, sockets: [first, second], send} = createConnections(2);
+	send(0, 10_000);
+	send(1, 10_000);
+	await nextTurn();
+	second!.resume();
+	await nextTurn();
+	send(0, 10_000);
+	send(1, 10_000);
+	second!.resume();
+	await new Promise(resolve => {
+		process.nextTick(resolve);
+	});
+	t.true(second!.isPaused);
+
+	intake.release(second as unknown as Socket); // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+	second!.resume();
+	t.false(second!.isPaused);
+	t.truthy(first);
+});
--- a/src/serving/caller-listener.ts
+++ b/src/serving/caller-listener.ts
@@ -12,6 +12,7 @@
 import {bufferGarbage} from '../memory/process-memory.js';
 import {openServer} from '../startup/ports.js';
 import type {EventLog} from '../telemetry/log.js';
+import {BodyIntake} from './body-intake.js';
 import {LingeringConnections} from './lingering-connections.js';
 import type {CallerLimits} from './model.js';
 import {maximumOutstanding, OutstandingRequests} from './outstanding-requests.js';
@@ -52,6 +53,7 @@
 	/** Connections that close after the responses to what was received before an error. */
 	readonly #failed = new WeakSet<Socket>();
 	readonly #lingering = new LingeringConnections();
+	readonly #intake = new BodyIntake();
 	readonly #outstanding: OutstandingRequests;
 
 	constructor(handler: RequestHandler, memory: MemoryBudget) {
@@ -65,6 +67,7 @@
 			// The server calls it after the last response of a connection.
 			socket.destroySoon = () => {
 				this.#outstanding.release(socket);
+				this.#intake.release(socket);
 				this.#lingering.close(socket);
 			};
 		});
@@ -110,6 +113,7 @@
 			// The handler has begun to read or to discard the body, and this must not begin before.
 			request.on('data', (chunk: Uint8Array) => {
 				bufferGarbage.record(chunk.length);
+				this.#intake.recordChunk(socket);
 			});
 			return;
 		}
