fix(serving): connections of callers leave descriptors and memory to others

What callers saw: with more connections than descriptors, all of which stayed open, an instance opens no connection to an engine or the store.

Cause: nothing bounded the connections of callers; a body that stops short of its end keeps its connection until its time limit and beyond.

Evidence: body-crowds, 600 connections: 555, 601 and 621 descriptors open where the settings allow 300 beside files.

Change: callers may hold six tenths of the descriptors that limits.file_descriptors leaves, and as many connections as take a tenth of the memory. Beyond that the least recently used one that has no received and unanswered request is closed, of the address that has most of these. The smallest machine takes 646, so that no client within the limits meets this.

--- a/src/serving/caller-listener.ts
+++ b/src/serving/caller-listener.ts
@@ -13,6 +13,7 @@
 import {openServer} from '../startup/ports.js';
 import type {EventLog} from '../telemetry/log.js';
 import {BodyIntake} from './body-intake.js';
+import {ConnectionLimit} from './connection-limit.js';
 import {LingeringConnections} from './lingering-connections.js';
 import type {CallerLimits} from './model.js';
 import {maximumOutstanding, OutstandingRequests} from './outstanding-requests.js';
@@ -54,16 +55,26 @@
 	readonly #failed = new WeakSet<Socket>();
 	readonly #lingering = new LingeringConnections();
 	readonly #intake = new BodyIntake();
+	readonly #connections: ConnectionLimit;
 	readonly #outstanding: OutstandingRequests;
 
-	constructor(handler: RequestHandler, memory: MemoryBudget) {
+	/**
+	 * @param memory - Bounds what is kept for callers.
+	 * @param maximumConnections - Largest number of open connections.
+	 */
+	constructor(handler: RequestHandler, memory: MemoryBudget, maximumConnections = Number.POSITIVE_INFINITY) {
 		this.#outstanding = new OutstandingRequests(memory);
 		this.#server = http.createServer({
 			maxHeaderSize: maximumHeaderBytes, connectionsCheckingInterval: connectionCheckInterval, requestTimeout: 0, noDelay: true,
 		}, (request, response) => {
 			this.#receive(request, response, handler);
 		});
+		this.#connections = new ConnectionLimit(maximumConnections, socket => {
+			const newest = this.#newest.get(socket);
+			return newest !== undefined && newest.request.complete && !newest.response.writableFinished;
+		});
 		this.#server.on('connection', socket => {
+			this.#connections.add(socket);
 			// The server calls it after the last response of a connection.
 			socket.destroySoon = () => {
 				this.#outstanding.release(socket);
@@ -76,6 +87,11 @@
 		});
 	}
 
+	/** Number of connections that were closed because there were too many. */
+	get closedCount(): number {
+		return this.#connections.closedCount;
+	}
+
 	/** Number of connections that close as soon as their clients have received everything. */
 	get lingeringCount(): number {
 		return this.#lingering.size;
@@ -105,6 +121,7 @@
 			return;
 		}
 
+		this.#connections.recordUse(socket);
 		const decision = this.#outstanding.add(request, response);
 		const isClosing = this.#failed.has(socket) || this.#lingering.has(socket);
 		if (!isClosing && decision !== 'dropped') {
--- a/src/serving/serving-instance.ts
+++ b/src/serving/serving-instance.ts
@@ -36,6 +36,7 @@
 import {AnswerDurations} from './answer-durations.js';
 import {CallerListener} from './caller-listener.js';
 import type {ChoiceSources} from './choice-explanation.js';
+import {maximumCallerConnections} from './connection-limit.js';
 import {EngineChooser, type EngineChooserOptions} from './engine-chooser.js';
 import type {EngineRecord} from './model.js';
 import {InstancePorts} from './instance-ports.js';
@@ -231,7 +232,7 @@
 		this.#listener = new CallerListener((request, response, hasMemory) => {
 			eventLoop.recordTurn();
 			void this.#admission.handle(request, response, hasMemory);
-		}, this.#memory);
+		}, this.#memory, maximumCallerConnections({descriptorLimit: options.descriptorLimit, memoryLimit: options.memoryLimit}));
 		this.#ports = new InstancePorts({
 			...options, isReady: () => this.isReady, tableServer: this.#tableServer, relay: this.#access, peerMessenger: this.#peerMessenger, callerListener: this.#listener,
 			answerOperator: (request, response) => {
@@ -368,6 +369,7 @@
 			storeEra: () => this.#tables[0].replica.digest.era,
 			storeConfirmationAge: () => this.#replication.timeSinceConfirmation / 1000,
 			storeAge: () => Math.max(...this.#tables.map(({watch}) => watch.timeSinceLastAnswer)) / 1000,
+			connectionsClosed: () => this.#listener.closedCount,
 			droppedLineCount: this.#options.droppedLineCount,
 		});
 	}
--- a/src/serving/serving-metrics.ts
+++ b/src/serving/serving-metrics.ts
@@ -69,6 +69,8 @@
 	/** Time in seconds since the store last answered this instance, and since it last answered any instance that this one hears. */
 	storeAge: () => number;
 	storeConfirmationAge: () => number;
+	/** Connections of callers that were closed because there were too many. */
+	connectionsClosed: () => number;
 	droppedLineCount: () => number;
 };
 
@@ -127,6 +129,7 @@
 			['carobquay_store_era', 'Era of the store, which rises when it comes back from an older copy.', readers.storeEra],
 			['carobquay_store_age_seconds', 'Time since the store last answered this instance.', readers.storeAge],
 			['carobquay_store_confirmation_age_seconds', 'Time since the store last answered this instance or one that it hears.', readers.storeConfirmationAge],
+			['carobquay_connections_closed', 'Connections of callers closed since the start because there were too many.', readers.connectionsClosed],
 			['process_resident_memory_bytes', 'Resident memory of the process.', () => residentBytes() ?? Number.NaN],
 			['nodejs_heap_size_used_bytes', 'Heap of the runtime in use.', () => v8.getHeapStatistics().used_heap_size],
 			['nodejs_heap_size_limit_bytes', 'Limit of the heap, at which the runtime aborts the process.', () => v8.getHeapStatistics().heap_size_limit],
