--- a/scripts/__tests__/build.test.ts
+++ b/scripts/__tests__/build.test.ts
@@ -17,7 +17,9 @@
 test('a build leaves the files as they are for whoever has opened them', async t => {
 	t.timeout(60_000);
 	const folder = await mkdtemp(path.join(os.tmpdir(), 'build-'));
-	t.teardown(async () => rm(folder, {recursive: true}));
+	t.teardown(async () => {
+		await rm(folder, {recursive: true});
+	});
 	await build(folder);
 	const names = await readdir(folder);
 	const files = await Promise.all(names.map(async name => ({name, handle: await open(path.join(folder, name))})));
