fix(memory): garbage of answers, relayed bytes and copies counts as that of bodies does

The same cause in other places: bytes of engines and relays, and copies of what is complete, become garbage as received bodies do. Found while looking for it elsewhere.

--- a/src/memory/byte-collector.ts
+++ b/src/memory/byte-collector.ts
@@ -59,6 +59,7 @@
 
 		// Not from the pool, of which a part would keep the whole.
 		const bytes = Buffer.allocUnsafeSlow(length);
+		bufferGarbage.record(length);
 		let position = 0;
 		for (const piece of pieces) {
 			bytes.set(piece, position);
@@ -70,7 +71,6 @@
 
 	/** Forgets all bytes. */
 	clear(): void {
-		bufferGarbage.record(this.#length);
 		this.#pieces = [];
 		this.#block = new Uint8Array(0);
 		this.#used = 0;
--- a/src/memory/memory-budget.ts
+++ b/src/memory/memory-budget.ts
@@ -55,6 +55,7 @@
 /** Memory that an instance keeps for others. The sum of all reservations never exceeds the ceiling. */
 export class MemoryBudget {
 	readonly #limits: MemoryLimits;
+	readonly #onFreed: (source: MemorySource, bytes: number) => void;
 	readonly #ledger = new Set<Reservation>();
 	readonly #bySource = new Map<MemorySource, number>();
 	readonly #byOwner = new Map<MemoryOwner, number>();
@@ -64,8 +65,10 @@
 	#givenUpCount = 0;
 	#refusedCount = 0;
 
-	constructor(limits: MemoryLimits) {
+	/** @param onFreed - Called with bytes that are no longer kept and so are garbage, or kept by the runtime alone. */
+	constructor(limits: MemoryLimits, onFreed: (source: MemorySource, bytes: number) => void = () => undefined) {
 		this.#limits = limits;
+		this.#onFreed = onFreed;
 	}
 
 	/** Limit in bytes of all sources together. */
@@ -156,6 +159,9 @@
 		this.#bySource.set(reservation.source, this.usedBy(reservation.source) + growth);
 		addTo(this.#byOwner, reservation.owner, growth);
 		addTo(this.#byOwnerAndSource, `${reservation.source} ${reservation.owner}`, growth);
+		if (growth < 0) {
+			this.#onFreed(reservation.source, -growth);
+		}
 	}
 
 	/** Bytes that have to be given up before a reservation can have some bytes. */
--- a/src/memory/process-memory.ts
+++ b/src/memory/process-memory.ts
@@ -33,5 +33,10 @@
 	bufferGarbage.limit = Math.floor((memoryLimit ?? heapLimit) * garbageShare);
 	return new MemoryBudget(deriveMemoryLimits({
 		memoryLimit, heapLimit, heapAtStart, residentAtStart: residentBytes() ?? heapAtStart,
-	}));
+	}), (source, bytes) => {
+		// Requests in progress lie in the heap, which the runtime bounds by itself.
+		if (source !== 'request-heads') {
+			bufferGarbage.record(bytes);
+		}
+	});
 }
--- a/src/relay/relay-server.ts
+++ b/src/relay/relay-server.ts
@@ -12,6 +12,7 @@
 import type {Duplex} from 'node:stream';
 import {errorMessage} from '../errors/errors.js';
 import type {MemoryBudget, MemoryReservation} from '../memory/memory-budget.js';
+import {bufferGarbage} from '../memory/process-memory.js';
 import type {EngineRecord} from '../serving/model.js';
 import {openServer} from '../startup/ports.js';
 import type {EventLog} from '../telemetry/log.js';
@@ -208,10 +209,12 @@
 	};
 
 	engine.on('data', (bytes: Uint8Array) => {
+		bufferGarbage.record(bytes.length);
 		peer.write(encodeFrameHeader(bytes.length));
 		pass(engine, peer, bytes);
 	});
 	peer.on('data', (bytes: Uint8Array) => {
+		bufferGarbage.record(bytes.length);
 		pass(peer, engine, bytes);
 	});
 	engine.once('end', () => {
--- a/src/serving/http-exchange.ts
+++ b/src/serving/http-exchange.ts
@@ -9,6 +9,7 @@
 import http from 'node:http';
 import net from 'node:net';
 import type {Duplex} from 'node:stream';
+import {bufferGarbage} from '../memory/process-memory.js';
 import type {EngineConnector, FailureEvidence, PendingConnection} from '../upstream/engine-connector.js';
 import {describeInvalidResponseHead} from './header-fields.js';
 import {ResponseHeadScanner} from './response-head-scanner.js';
@@ -176,6 +177,7 @@
 			status, headers, rawHeaders, isEndMarked,
 		});
 		response.on('data', (bytes: Uint8Array) => {
+			bufferGarbage.record(bytes.length);
 			if (!this.#isEnded) {
 				this.#bodyBytes += bytes.length;
 				this.#listener.onData(bytes);
