fix(watch): temporary watchers stop as soon as two elected ones get answers

Change: that wait belongs to the usual age; a temporary watcher stops when two elected ones have had answers since it began.

--- a/src/watch/confirmation-times.ts
+++ b/src/watch/confirmation-times.ts
@@ -5,12 +5,13 @@
  * @module
  */
 import {heartbeatInterval} from '../peers/peer-membership.js';
+import {maximumChangeBatchDelay} from './table-watch.js';
 
 /** Time in milliseconds that an instance needs to decide to ask the store, to connect, and to read both tables. */
-const readTime = 1000;
+const readTime = 750;
 
 /** Time in milliseconds in which the answer to a few instances reaches the others, so that these need not ask. */
-const announcementTime = 500;
+const announcementTime = 250;
 
 /** Delay in milliseconds of polls and messages that is no sign of a lost watcher. */
 const usualDelay = 250;
@@ -35,8 +36,10 @@
  * @param stabilityWindow - Time in milliseconds after a disturbance for which nothing is asked of an instance.
  */
 export function confirmationTimes({changeLimit, stabilityWindow}: {changeLimit: number; stabilityWindow: number}): ConfirmationTimes {
-	const pollGap = Math.max(minimumPollGap, changeLimit - readTime - announcementTime - heartbeatInterval - usualDelay);
-	const firstProbeAge = pollGap + heartbeatInterval + usualDelay;
+	// After a change the watchers wait before they poll again.
+	const usualAge = maximumChangeBatchDelay + heartbeatInterval + usualDelay;
+	const pollGap = Math.max(minimumPollGap, changeLimit - readTime - announcementTime - usualAge);
+	const firstProbeAge = pollGap + usualAge;
 	return {
 		pollGap, firstProbeAge, probeAge: firstProbeAge + announcementTime, retryInterval: Math.max(readTime, stabilityWindow - readTime),
 	};
--- a/src/watch/store-watcher-selection.ts
+++ b/src/watch/store-watcher-selection.ts
@@ -12,6 +12,9 @@
 /** Number of watchers in a larger fleet. */
 const watcherCount = 5;
 
+/** Elected watchers with answers of the store that take the place of a temporary one. */
+const sufficientWatchers = 2;
+
 /** Time in milliseconds without a message after which a watcher counts as lost; half of the shortest time limit for a change to take effect. */
 const watcherTimeout = 1000;
 
@@ -112,18 +115,11 @@
 
 /**
  * Whether others watch in place of this temporary watcher. Another temporary one does if it precedes this one and has had an
- * answer since this one began. The elected ones do when they have had time to notice that their own polls are not answered,
- * and still get answers often enough.
+ * answer since this one began. One answer to one of the elected ones is not enough, as its turns are made for more of them.
  */
-function isRelieved({now, current, times}: StoreWatchInput, precedingPeers: readonly PeerStatus[]): boolean {
+function isRelieved({now, current}: StoreWatchInput, precedingPeers: readonly PeerStatus[]): boolean {
 	const inOrder = precedingPeers.toSorted((one, other) => hashPosition(one.ip) - hashPosition(other.ip));
 	const hasAnswerSinceThen = (peer: PeerStatus) => isRecentWatcher(peer, now) && Math.min(...peer.confirmedAt) > current.since;
-	if (inOrder.slice(watcherCount).some(peer => hasAnswerSinceThen(peer))) {
-		return true;
-	}
-
-	const elected = inOrder.slice(0, watcherCount).filter(peer => hasAnswerSinceThen(peer));
-	const newestAnswers = [0, 1].map(table => Math.max(...elected.map(({confirmedAt}) => confirmedAt[table]!)));
-	const noticeTime = (watcherCount * times.pollGap) + watcherTimeout;
-	return now - current.since >= noticeTime && now - Math.min(...newestAnswers) < times.firstProbeAge;
+	const answeredElected = inOrder.slice(0, watcherCount).filter(peer => hasAnswerSinceThen(peer));
+	return answeredElected.length >= sufficientWatchers || inOrder.slice(watcherCount).some(peer => hasAnswerSinceThen(peer));
 }
