fix(watch): only elected watchers take turns at polls

Cause: a watcher counted every peer that reaches the store into the turns of its polls, temporary ones too. Where one of these stopped, its turn brought no answer, the newest answer became older than usual, and the next instances asked.

Change: the turns of a large fleet are those of the elected watchers.

--- a/src/serving/replicated-tables.ts
+++ b/src/serving/replicated-tables.ts
@@ -10,7 +10,7 @@
 import {confirmationTimes, type ConfirmationTimes} from '../watch/confirmation-times.js';
 import {maximumPollGap, pollWait} from '../watch/poll-schedule.js';
 import type {RowSource} from '../watch/row-source.js';
-import {maximumSmallFleet} from '../watch/store-watcher-selection.js';
+import {maximumSmallFleet, permanentWatchers} from '../watch/store-watcher-selection.js';
 import {TableReplica, type TableReplicaOptions} from '../watch/table-replica.js';
 import type {ReplicatedTable, TableReplication} from '../watch/table-replication.js';
 import {maximumChangeBatchDelay, TableWatch} from '../watch/table-watch.js';
@@ -53,8 +53,8 @@
 	const watch: TableWatch = new TableWatch({
 		source: store, table: name, listener: replica, log,
 		pollWait: (isAfterChange, isFirst) => pollWait({
-			// A temporary watcher takes no turns, as it watches because the turns of the others have not brought an answer.
-			ip, otherWatchers: replication().isTemporaryWatcher ? [] : otherWatchers().map(peer => peer.ip),
+			// Temporary watchers take no turns: they watch because the turns of the others have not brought an answer, and soon stop.
+			ip, otherWatchers: replication().isTemporaryWatcher ? [] : permanentWatchers(ip, messenger.alivePeers).filter(({canReachStore}) => canReachStore).map(peer => peer.ip),
 			// Only some instances of a large fleet watch, and the others must notice in time that these get no answers.
 			maximumGap: messenger.alivePeers.length < maximumSmallFleet ? maximumGap : Math.min(maximumGap, pollGap),
 			isAfterChange, isFirst,
--- a/src/watch/__tests__/table-replication.test.ts
+++ b/src/watch/__tests__/table-replication.test.ts
@@ -3,7 +3,7 @@
 import {hashPosition} from '../../placement/hash-position.js';
 import {confirmationTimes} from '../confirmation-times.js';
 import {
-	type PeerStatus, storeWatchReason, type StoreWatchInput, type StoreWatchReason,
+	permanentWatchers, type PeerStatus, storeWatchReason, type StoreWatchInput, type StoreWatchReason,
 } from '../store-watcher-selection.js';
 import type {StorePosition} from '../store-position.js';
 import {TableReplica, type TableDelta} from '../table-replica.js';
@@ -152,6 +152,19 @@
 	t.is(elected.length, 5);
 });
 
+// Guards against temporary watchers that take turns with the elected ones, and leave a gap when they stop.
+for (const {name, count, expected} of [{name: 'all of a small fleet', count: 8, expected: 8}, {name: 'the elected ones of a large fleet', count: 70, expected: 5}]) {
+	test(`turns are taken by ${name}`, t => {
+		const peers = createPeers(count, {});
+		const outsider = ['10.9.0.1', '10.9.0.2', '10.9.0.3', '10.9.0.4', '10.9.0.5', '10.9.0.6', '10.9.0.7'].find(ip => decide(ip, peers) !== 'elected')!;
+		const turns = permanentWatchers(outsider, peers).map(({ip}) => ip);
+		t.is(turns.length, expected);
+		for (const ip of turns) {
+			t.true(['elected', 'small-fleet'].includes(decide(ip, peers.filter(peer => peer.ip !== ip))));
+		}
+	});
+}
+
 /** Addresses of a large fleet in the order in which they are elected. */
 const ordered = createPeers(40, {}).map(({ip}) => ip).toSorted((one, other) => hashPosition(one) - hashPosition(other));
 const since = 5000;
--- a/src/watch/store-watcher-selection.ts
+++ b/src/watch/store-watcher-selection.ts
@@ -99,6 +99,17 @@
 	return input.randomValue < input.timeSinceLastDecision / (peers.length * interval) ? 'outage-try' : 'none';
 }
 
+/** The peers that watch the store for the whole fleet, as long as they live: in a small fleet all, otherwise the first ones in the common order. */
+export function permanentWatchers<Peer extends {ip: string}>(ip: string, peers: readonly Peer[]): Peer[] {
+	if (peers.length < maximumSmallFleet) {
+		return [...peers];
+	}
+
+	const inOrder = [ip, ...peers.map(peer => peer.ip)].toSorted((one, other) => hashPosition(one) - hashPosition(other));
+	const elected = new Set(inOrder.slice(0, watcherCount));
+	return peers.filter(peer => elected.has(peer.ip));
+}
+
 /** Whether an instance with this reason watches the store. */
 export function isWatching(reason: StoreWatchReason): boolean {
 	return reason !== 'none';
