fix(serving): responses of engines in very many small parts are read in turns

What callers saw: beside engines that send chunks of a few bytes, or events or comments, requests to sound engines took about 2 s each.

Cause: the runtime reads up to 32 times 64 KB of a connection in a row and calls back for each chunk, and the splitter for each event.

Change: BodyIntake becomes ReadTurns, counts parts of any connection, and is used by exchanges with engines, direct or relayed, where a response waits after 4,096 chunks and events in a turn.

--- a/src/serving/__tests__/body-intake.test.ts
+++ b/src/serving/__tests__/read-turns.test.ts
@@ -2,10 +2,10 @@
 import type {Socket} from 'node:net';
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import test from 'ava';
-import {BodyIntake} from '../body-intake.js';
+import {ReadTurns} from '../read-turns.js';
 
 /** Connection that emits `resume` as the runtime's does, some time after the call. */
-class FakeSocket extends EventEmitter { // eslint-disable-line unicorn/prefer-event-target -- The intake takes a socket of the runtime.
+class FakeSocket extends EventEmitter { // eslint-disable-line unicorn/prefer-event-target -- Sockets of the runtime are event emitters.
 	destroyed = false;
 	isPaused = false;
 
@@ -24,44 +24,44 @@
 }
 
 function createConnections(count: number) {
-	const intake = new BodyIntake();
+	const turns = new ReadTurns();
 	const sockets = Array.from({length: count}, () => new FakeSocket());
 	const send = (index: number, chunks: number) => {
 		for (let chunk = 0; chunk < chunks; chunk++) {
-			// Only what the intake itself uses.
-			intake.recordChunk(sockets[index] as unknown as Socket); // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+			// Only what is used of it.
+			turns.recordParts(sockets[index] as unknown as Socket, 1); // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
 		}
 	};
 
-	return {intake, sockets, send};
+	return {turns, sockets, send};
 }
 
-const cases: Array<{name: string; connections: number; chunks: number; held: number; heldInNextTurn: number}> = [
+const cases: Array<{name: string; connections: number; chunks: number; waiting: number; waitingInNextTurn: number}> = [
 	{
-		name: 'few chunks', connections: 3, chunks: 511, held: 0, heldInNextTurn: 0,
+		name: 'few chunks', connections: 3, chunks: 511, waiting: 0, waitingInNextTurn: 0,
 	},
 	{
-		name: 'many chunks of one connection', connections: 1, chunks: 10_000, held: 1, heldInNextTurn: 0,
+		name: 'many chunks of one connection', connections: 1, chunks: 10_000, waiting: 1, waitingInNextTurn: 0,
 	},
 	{
-		name: 'many chunks of several connections', connections: 5, chunks: 10_000, held: 5, heldInNextTurn: 4,
+		name: 'many chunks of several connections', connections: 5, chunks: 10_000, waiting: 5, waitingInNextTurn: 4,
 	},
 	{
-		name: 'some chunks of several connections', connections: 10, chunks: 1024, held: 10, heldInNextTurn: 6,
+		name: 'some chunks of several connections', connections: 10, chunks: 1024, waiting: 10, waitingInNextTurn: 6,
 	},
 ];
 
 // Guards against a few connections whose bodies come in tiny chunks and keep the event loop from all others.
-for (const {name, connections, chunks, held, heldInNextTurn} of cases) {
+for (const {name, connections, chunks, waiting, waitingInNextTurn} of cases) {
 	test(`connections are read no further in a turn after ${name}`, async t => {
-		const {intake, sockets, send} = createConnections(connections);
+		const {turns, sockets, send} = createConnections(connections);
 		for (let index = 0; index < connections; index++) {
 			send(index, chunks);
 		}
 
-		t.is(sockets.filter(({isPaused}) => isPaused).length, held);
+		t.is(sockets.filter(({isPaused}) => isPaused).length, waiting);
 		await nextTurn();
-		t.is(intake.heldCount, heldInNextTurn);
+		t.is(turns.waitingCount, waitingInNextTurn);
 		for (let turn = 0; turn < connections; turn++) {
 			await nextTurn(); // eslint-disable-line no-await-in-loop
 		}
@@ -71,7 +71,7 @@
 }
 
 test('a connection that waits for its turn is not resumed by others, until it is released', async t => {
-	const {intake, sockets: [first, second], send} = createConnections(2);
+	const {turns, sockets: [first, second], send} = createConnections(2);
 	send(0, 10_000);
 	send(1, 10_000);
 	await nextTurn();
@@ -85,7 +85,7 @@
 	});
 	t.true(second!.isPaused);
 
-	intake.release(second as unknown as Socket); // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
+	turns.release(second as unknown as Socket); // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion
 	second!.resume();
 	t.false(second!.isPaused);
 	t.truthy(first);
--- a/src/serving/caller-listener.ts
+++ b/src/serving/caller-listener.ts
@@ -12,11 +12,11 @@
 import {bufferGarbage} from '../memory/process-memory.js';
 import {openServer} from '../startup/ports.js';
 import type {EventLog} from '../telemetry/log.js';
-import {BodyIntake} from './body-intake.js';
 import {ConnectionLimit} from './connection-limit.js';
 import {LingeringConnections} from './lingering-connections.js';
 import type {CallerLimits} from './model.js';
 import {maximumOutstanding, OutstandingRequests} from './outstanding-requests.js';
+import {ReadTurns} from './read-turns.js';
 
 /** Greatest size in bytes of a request's headers; a little above the deployments' limit of 16 KiB. */
 const maximumHeaderBytes = 24_576;
@@ -54,7 +54,7 @@
 	/** Connections that close after the responses to what was received before an error. */
 	readonly #failed = new WeakSet<Socket>();
 	readonly #lingering = new LingeringConnections();
-	readonly #intake = new BodyIntake();
+	readonly #readTurns = new ReadTurns();
 	readonly #connections: ConnectionLimit;
 	readonly #outstanding: OutstandingRequests;
 
@@ -78,7 +78,7 @@
 			// The server calls it after the last response of a connection.
 			socket.destroySoon = () => {
 				this.#outstanding.release(socket);
-				this.#intake.release(socket);
+				this.#readTurns.release(socket);
 				this.#lingering.close(socket);
 			};
 		});
@@ -130,7 +130,7 @@
 			// The handler has begun to read or to discard the body, and this must not begin before.
 			request.on('data', (chunk: Uint8Array) => {
 				bufferGarbage.record(chunk.length);
-				this.#intake.recordChunk(socket);
+				this.#readTurns.recordParts(socket, 1);
 			});
 			return;
 		}
--- a/src/serving/engine-attempt.ts
+++ b/src/serving/engine-attempt.ts
@@ -221,7 +221,9 @@
 		}
 
 		try {
-			for (const event of this.#splitter.push(bytes)) {
+			const events = this.#splitter.push(bytes);
+			this.#exchange.recordParts(events.length);
+			for (const event of events) {
 				if (!this.#acceptEvent(event)) {
 					return;
 				}
--- a/src/serving/http-exchange.ts
+++ b/src/serving/http-exchange.ts
@@ -12,6 +12,7 @@
 import {bufferGarbage} from '../memory/process-memory.js';
 import type {EngineConnector, FailureEvidence, PendingConnection} from '../upstream/engine-connector.js';
 import {describeInvalidResponseHead} from './header-fields.js';
+import {ReadTurns} from './read-turns.js';
 import {ResponseHeadScanner} from './response-head-scanner.js';
 
 /** Most provisional responses (status 1xx) before the final one. */
@@ -24,6 +25,12 @@
 const maximumFramingBytes = 262_144;
 const maximumFramingPerBodyByte = 2;
 
+/** Parts of one response in one turn of the event loop. Responses in larger parts than 512 bytes never wait, as 2 MB are read in a row. */
+const partsPerTurn = 4096;
+
+/** Shared by the exchanges of the process, as they share its event loop. */
+const readTurns = new ReadTurns(partsPerTurn);
+
 /** The request to send and how to reach its receiver. */
 export type HttpExchangeOptions = {
 	connector: EngineConnector;
@@ -95,6 +102,13 @@
 		return this.#relay;
 	}
 
+	/** Counts parts of the response that were handled, such as events; a response of very many is read in turns with others. */
+	recordParts(count: number): void {
+		if (this.#stream && !this.#isEnded) {
+			readTurns.recordParts(this.#stream, count);
+		}
+	}
+
 	/** Closes the connection. The listener is not called any more. */
 	abort(): void {
 		this.#finish();
@@ -180,6 +194,7 @@
 			bufferGarbage.record(bytes.length);
 			if (!this.#isEnded) {
 				this.#bodyBytes += bytes.length;
+				this.recordParts(1);
 				this.#listener.onData(bytes);
 			}
 		});
--- /dev/null
+++ b/src/serving/read-turns.ts
@@ -0,0 +1,108 @@
+/**
+ * Shares the event loop among connections that send very many small parts, such as chunks of a body or events of a stream.
+ *
+ * The runtime reads up to 2 MB of a connection in a row and calls back for each chunk of a body, so that a few connections
+ * with parts of one byte would keep the event loop for seconds from all other work.
+ *
+ * @module
+ */
+import type {Duplex} from 'node:stream';
+
+/** Default of the parts of one connection in one turn. */
+const defaultPartsPerTurn = 512;
+
+/** Parts in one turn of all connections that are read again. */
+const partsOfWaitingPerTurn = 4096;
+
+type Reading = {
+	/** Turn in which the last part came, and the number of parts that came in it. */
+	turn: number;
+	parts: number;
+	isWaiting: boolean;
+};
+
+/** Connections that take turns at being read. */
+export class ReadTurns {
+	readonly #partsPerTurn: number;
+	readonly #readings = new WeakMap<Duplex, Reading>();
+	/** Connections that are not read, in the order in which they are read again. */
+	#waiting: Duplex[] = [];
+	#turn = 0;
+	#isTurnScheduled = false;
+
+	/** @param partsPerTurn - Parts of one connection in one turn of the event loop from which on it is read no further in this turn. */
+	constructor(partsPerTurn = defaultPartsPerTurn) {
+		this.#partsPerTurn = partsPerTurn;
+	}
+
+	/** Number of connections that wait for their turn. */
+	get waitingCount(): number {
+		return this.#waiting.length;
+	}
+
+	/** Counts parts that a connection has sent. */
+	recordParts(connection: Duplex, count: number): void {
+		const reading = this.#readings.get(connection) ?? this.#addConnection(connection);
+		if (reading.turn !== this.#turn) {
+			reading.turn = this.#turn;
+			reading.parts = 0;
+		}
+
+		reading.parts += count;
+		this.#scheduleTurn();
+		if (reading.parts >= this.#partsPerTurn && !reading.isWaiting) {
+			reading.isWaiting = true;
+			this.#waiting.push(connection);
+			connection.pause();
+		}
+	}
+
+	/** Reads a connection on, whatever it sends. */
+	release(connection: Duplex): void {
+		const reading = this.#readings.get(connection);
+		if (reading) {
+			reading.isWaiting = false;
+		}
+	}
+
+	#addConnection(connection: Duplex): Reading {
+		const reading: Reading = {turn: this.#turn, parts: 0, isWaiting: false};
+		this.#readings.set(connection, reading);
+		connection.on('resume', () => {
+			// The runtime's HTTP messages resume it as well.
+			if (reading.isWaiting) {
+				connection.pause();
+			}
+		});
+		return reading;
+	}
+
+	#scheduleTurn(): void {
+		if (!this.#isTurnScheduled) {
+			this.#isTurnScheduled = true;
+			setImmediate(() => {
+				this.#isTurnScheduled = false;
+				this.#startTurn();
+			});
+		}
+	}
+
+	/** Reads again the connections that have waited longest, as many as can be expected to send no more parts than one turn takes. */
+	#startTurn(): void {
+		this.#turn += 1;
+		let expectedParts = 0;
+		let released = 0;
+		for (; released < this.#waiting.length && expectedParts < partsOfWaitingPerTurn; released++) {
+			const connection = this.#waiting[released]!;
+			const reading = this.#readings.get(connection)!;
+			expectedParts += reading.isWaiting && !connection.destroyed ? reading.parts : 0;
+			reading.isWaiting = false;
+			connection.resume();
+		}
+
+		this.#waiting = this.#waiting.slice(released);
+		if (this.#waiting.length > 0) {
+			this.#scheduleTurn();
+		}
+	}
+}
