fix(serving): a connection with a request in progress stays open when a further one is half sent

What callers could see: beyond the limit of connections, one whose earlier request was still in progress was closed as idle as soon as the head of its next request had come.

Cause: the newest request of the connection alone decided whether it was in use.

Evidence: caller-listener.test.ts, the case with a half sent request: the first connection was closed instead of the new one.

Change: a connection is in use while it has more than one request that has not ended, as only the newest can be half received, or while its newest is received and not answered.

Result: three cases pass, with pipelined-requests and malformed-heads (31 tests).

--- a/src/serving/caller-listener.ts
+++ b/src/serving/caller-listener.ts
@@ -69,10 +69,7 @@
 		}, (request, response) => {
 			this.#receive(request, response, handler);
 		});
-		this.#connections = new ConnectionLimit(maximumConnections, socket => {
-			const newest = this.#newest.get(socket);
-			return newest !== undefined && newest.request.complete && !newest.response.writableFinished;
-		});
+		this.#connections = new ConnectionLimit(maximumConnections, socket => this.#hasReceivedRequest(socket));
 		this.#server.on('connection', socket => {
 			this.#connections.add(socket);
 			// The server calls it after the last response of a connection.
@@ -114,6 +111,13 @@
 		this.#server.closeIdleConnections();
 	}
 
+	/** Whether a connection has a request that was received and is not answered. Only its newest one may be half received. */
+	#hasReceivedRequest(socket: Socket): boolean {
+		const newest = this.#newest.get(socket);
+		const isNewestReceived = newest !== undefined && newest.request.complete && !newest.response.writableFinished;
+		return isNewestReceived || this.#outstanding.countOf(socket) > 1;
+	}
+
 	#receive(request: http.IncomingMessage, response: http.ServerResponse, handler: RequestHandler): void {
 		const {socket} = request;
 		if (socket.destroyed) {
