fix(serving): a refused body ends with its connection when it goes on past the limit

What callers saw: nothing of their own; a client whose request had been refused could go on sending, and the instance read all of it, at the cost of others.

Cause: the rest of a refused body was discarded without an end, so that it would not be parsed as the next request.

Change: 413 closes its connection after the response, and the connection of any body is closed when it has sent twice the limit of a body. Its caller has the answer by then: one over the limit gets it at the limit. Clients inside the limits meet neither.

--- a/src/serving/admission.ts
+++ b/src/serving/admission.ts
@@ -330,6 +330,10 @@
 
 	#reject(answer: CallerResponse, {requestId}: RequestHeaderValues, request: http.IncomingMessage, {code, reason}: Rejection): void {
 		const {retryAfter} = errorCatalogue[code];
+		if (code === '1003') {
+			this.#connections.closeAfterResponses(request);
+		}
+
 		const status = answer.sendError(code, reason, 'no', retryAfter);
 		this.#options.metrics.recordRejection(code);
 		this.#options.log.warn('request.rejected', {
--- a/src/serving/caller-listener.ts
+++ b/src/serving/caller-listener.ts
@@ -30,6 +30,9 @@
 /** Length of the queue of connections that are not yet accepted. */
 const backlog = 1024;
 
+/** Parts of the limit of a body after which the connection of a body that is over it is closed; its caller has been answered before. */
+const closingBodyShare = 2;
+
 /** Handles one request of a caller. @param hasMemory - Whether there is memory for it; it is refused otherwise. */
 export type RequestHandler = (request: http.IncomingMessage, response: http.ServerResponse, hasMemory: boolean) => void;
 
@@ -57,6 +60,8 @@
 	readonly #readTurns = new ReadTurns();
 	readonly #connections: ConnectionLimit;
 	readonly #outstanding: OutstandingRequests;
+	/** Limit in bytes of a body; infinite until a configuration is known. */
+	#maximumBodyBytes = Number.POSITIVE_INFINITY;
 
 	/**
 	 * @param memory - Bounds what is kept for callers.
@@ -95,7 +100,8 @@
 	}
 
 	/** Applies the limits of a configuration from now on. */
-	applyLimits({headerTimeout, idleTimeout}: CallerLimits): void {
+	applyLimits({headerTimeout, idleTimeout, maximumBodyBytes}: CallerLimits): void {
+		this.#maximumBodyBytes = maximumBodyBytes;
 		this.#server.headersTimeout = headerTimeout;
 		this.#server.keepAliveTimeout = idleTimeout + keepAliveMargin;
 	}
@@ -132,10 +138,7 @@
 			this.#newest.set(socket, {request, response});
 			handler(request, response, decision === 'accepted');
 			// The handler has begun to read or to discard the body, and this must not begin before.
-			request.on('data', (chunk: Uint8Array) => {
-				bufferGarbage.record(chunk.length);
-				this.#readTurns.recordParts(socket, 1);
-			});
+			this.#observeBody(request);
 			return;
 		}
 
@@ -145,6 +148,20 @@
 		}
 	}
 
+	/** Shares the event loop with others and ends a body that goes on though it has been refused. */
+	#observeBody(request: http.IncomingMessage): void {
+		const {socket} = request;
+		let received = 0;
+		request.on('data', (chunk: Uint8Array) => {
+			bufferGarbage.record(chunk.length);
+			this.#readTurns.recordParts(socket, 1);
+			received += chunk.length;
+			if (received > closingBodyShare * this.#maximumBodyBytes) {
+				socket.destroy();
+			}
+		});
+	}
+
 	/** Closes a connection for which there is no memory after the response to its newest request. @returns false if that would keep too much. */
 	#closeAfterNewest(socket: Socket): boolean {
 		const newest = this.#newest.get(socket);
