fix(serving): bodies are read in turns by their size as well, and new connections come in between

What callers saw: no answer within 10 s beside a small part of each crowd at once, 860 connections.

Cause: a turn of the event loop read up to 2 MB of each connection with large chunks, or one read of small ones, and took about 100 ms; the runtime accepts one connection in a turn, so an ordinary caller waited behind hundreds of connections of the crowd, one turn for each.

Change: every 128 bytes of a chunk count as a part, so that a connection sends about one read in its turn, and eight turns without reads of waiting connections lie between two with.

--- a/src/serving/__tests__/read-turns.test.ts
+++ b/src/serving/__tests__/read-turns.test.ts
@@ -2,7 +2,7 @@
 import type {Socket} from 'node:net';
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import test from 'ava';
-import {ReadTurns} from '../read-turns.js';
+import {ReadTurns, type ReadTurnsOptions} from '../read-turns.js';
 
 /** Connection that emits `resume` as the runtime's does, some time after the call. */
 class FakeSocket extends EventEmitter { // eslint-disable-line unicorn/prefer-event-target -- Sockets of the runtime are event emitters.
@@ -23,8 +23,8 @@
 	}
 }
 
-function createConnections(count: number) {
-	const turns = new ReadTurns();
+function createConnections(count: number, options?: ReadTurnsOptions) {
+	const turns = new ReadTurns(options);
 	const sockets = Array.from({length: count}, () => new FakeSocket());
 	const send = (index: number, chunks: number) => {
 		for (let chunk = 0; chunk < chunks; chunk++) {
@@ -90,3 +90,20 @@
 	t.false(second!.isPaused);
 	t.truthy(first);
 });
+
+// Guards against new connections that wait behind each read of small parts, as the runtime accepts one in each turn.
+test('between two turns in which connections are read again, some are left to other work', async t => {
+	const freeTurns = 3;
+	const {turns, send} = createConnections(4, {freeTurns});
+	for (let index = 0; index < 4; index++) {
+		send(index, 10_000);
+	}
+
+	const waiting: number[] = [];
+	for (let turn = 0; turn < 2 * (freeTurns + 1); turn++) {
+		await nextTurn(); // eslint-disable-line no-await-in-loop
+		waiting.push(turns.waitingCount);
+	}
+
+	t.deepEqual(waiting, [4, 4, 4, 3, 3, 3, 3, 2]);
+});
--- a/src/serving/caller-listener.ts
+++ b/src/serving/caller-listener.ts
@@ -16,7 +16,7 @@
 import {LingeringConnections} from './lingering-connections.js';
 import type {CallerLimits} from './model.js';
 import {maximumOutstanding, OutstandingRequests} from './outstanding-requests.js';
-import {ReadTurns} from './read-turns.js';
+import {ReadTurns, usualFreeTurns} from './read-turns.js';
 
 /** Greatest size in bytes of a request's headers; a little above the deployments' limit of 16 KiB. */
 const maximumHeaderBytes = 24_576;
@@ -30,6 +30,9 @@
 /** Length of the queue of connections that are not yet accepted. */
 const backlog = 1024;
 
+/** Bytes of a body that take their turn like one chunk, so that one read of a connection takes a whole turn of it. */
+const bytesPerPart = 128;
+
 /** Parts of the limit of a body after which the connection of a body that is over it is closed; its caller has been answered before. */
 const closingBodyShare = 2;
 
@@ -57,7 +60,7 @@
 	/** Connections that close after the responses to what was received before an error. */
 	readonly #failed = new WeakSet<Socket>();
 	readonly #lingering = new LingeringConnections();
-	readonly #readTurns = new ReadTurns();
+	readonly #readTurns = new ReadTurns({freeTurns: usualFreeTurns});
 	readonly #connections: ConnectionLimit;
 	readonly #outstanding: OutstandingRequests;
 	/** Limit in bytes of a body; infinite until a configuration is known. */
@@ -154,7 +157,7 @@
 		let received = 0;
 		request.on('data', (chunk: Uint8Array) => {
 			bufferGarbage.record(chunk.length);
-			this.#readTurns.recordParts(socket, 1);
+			this.#readTurns.recordParts(socket, 1 + Math.floor(chunk.length / bytesPerPart));
 			received += chunk.length;
 			if (received > closingBodyShare * this.#maximumBodyBytes) {
 				socket.destroy();
--- a/src/serving/http-exchange.ts
+++ b/src/serving/http-exchange.ts
@@ -12,7 +12,7 @@
 import {bufferGarbage} from '../memory/process-memory.js';
 import type {EngineConnector, FailureEvidence, PendingConnection} from '../upstream/engine-connector.js';
 import {describeInvalidResponseHead} from './header-fields.js';
-import {ReadTurns} from './read-turns.js';
+import {ReadTurns, usualFreeTurns} from './read-turns.js';
 import {ResponseHeadScanner} from './response-head-scanner.js';
 
 /** Most provisional responses (status 1xx) before the final one. */
@@ -29,7 +29,7 @@
 const partsPerTurn = 4096;
 
 /** Shared by the exchanges of the process, as they share its event loop. */
-const readTurns = new ReadTurns(partsPerTurn);
+const readTurns = new ReadTurns({partsPerTurn, freeTurns: usualFreeTurns});
 
 /** The request to send and how to reach its receiver. */
 export type HttpExchangeOptions = {
--- a/src/serving/read-turns.ts
+++ b/src/serving/read-turns.ts
@@ -8,12 +8,30 @@
  */
 import type {Duplex} from 'node:stream';
 
-/** Default of the parts of one connection in one turn. */
+/** Default of `partsPerTurn`. */
 const defaultPartsPerTurn = 512;
 
+/** Turns of the event loop for other work between two in which connections of callers, or of engines, are read again. */
+export const usualFreeTurns = 8;
+
 /** Parts in one turn of all connections that are read again. */
 const partsOfWaitingPerTurn = 4096;
 
+/** Options of a `ReadTurns`. */
+export type ReadTurnsOptions = {
+	/**
+	 * Parts of one connection in one turn of the event loop from which on it is read no further in this turn.
+	 * @default 512
+	 */
+	partsPerTurn?: number;
+	/**
+	 * Turns of the event loop that are left to other work before connections that wait are read again. One read of small parts
+	 * takes long, while a turn without any is short, and the runtime accepts one connection in each.
+	 * @default 0
+	 */
+	freeTurns?: number;
+};
+
 type Reading = {
 	/** Turn in which the last part came, and the number of parts that came in it. */
 	turn: number;
@@ -24,15 +42,18 @@
 /** Connections that take turns at being read. */
 export class ReadTurns {
 	readonly #partsPerTurn: number;
+	readonly #freeTurns: number;
 	readonly #readings = new WeakMap<Duplex, Reading>();
 	/** Connections that are not read, in the order in which they are read again. */
 	#waiting: Duplex[] = [];
 	#turn = 0;
 	#isTurnScheduled = false;
+	/** Turns since connections that waited were last read again. */
+	#turnsWithoutRead = 0;
 
-	/** @param partsPerTurn - Parts of one connection in one turn of the event loop from which on it is read no further in this turn. */
-	constructor(partsPerTurn = defaultPartsPerTurn) {
+	constructor({partsPerTurn = defaultPartsPerTurn, freeTurns = 0}: ReadTurnsOptions = {}) {
 		this.#partsPerTurn = partsPerTurn;
+		this.#freeTurns = freeTurns;
 	}
 
 	/** Number of connections that wait for their turn. */
@@ -87,9 +108,24 @@
 		}
 	}
 
-	/** Reads again the connections that have waited longest, as many as can be expected to send no more parts than one turn takes. */
+	/** Begins a turn, in which connections that wait are read again unless it is left to other work. */
 	#startTurn(): void {
 		this.#turn += 1;
+		if (this.#waiting.length > 0) {
+			this.#turnsWithoutRead += 1;
+			if (this.#turnsWithoutRead > this.#freeTurns) {
+				this.#turnsWithoutRead = 0;
+				this.#readWaiting();
+			}
+		}
+
+		if (this.#waiting.length > 0) {
+			this.#scheduleTurn();
+		}
+	}
+
+	/** Reads again the connections that have waited longest, as many as can be expected to send no more parts than one turn takes. */
+	#readWaiting(): void {
 		let expectedParts = 0;
 		let released = 0;
 		for (; released < this.#waiting.length && expectedParts < partsOfWaitingPerTurn; released++) {
@@ -101,8 +137,5 @@
 		}
 
 		this.#waiting = this.#waiting.slice(released);
-		if (this.#waiting.length > 0) {
-			this.#scheduleTurn();
-		}
 	}
 }
