--- a/src/commands/front.ts
+++ b/src/commands/front.ts
@@ -136,7 +136,7 @@
 	const settings = await settingsAtStart;
 	running.signal.throwIfAborted();
 	const instanceLog = log.with({instance: settings.instance});
-	instanceLog.info('instance.settings', {ip: settings.ip, memory_limit: settings.memoryLimit, descriptor_limit: settings.descriptorLimit});
+	instanceLog.info('instance.settings', {ip: settings.ip, memory_limit: settings.memoryLimit, socket_limit: settings.socketLimit});
 	const serving = new ServingInstance({
 		...settings,
 		startLimit: settings.startLimit ?? startLimit,
--- a/src/peers/peer-membership.ts
+++ b/src/peers/peer-membership.ts
@@ -77,7 +77,7 @@
 const neverConfirmed: TableTimes = [Number.NEGATIVE_INFINITY, Number.NEGATIVE_INFINITY];
 
 /** When the store last answered a peer. Earlier builds do not state it, and count as answered while they say that they reach the store. */
-function confirmationTimes({canReachStore, confirmationAges}: PeerRole, now: number): TableTimes {
+function confirmedAtOf({canReachStore, confirmationAges}: PeerRole, now: number): TableTimes {
 	if (confirmationAges) {
 		return [now - confirmationAges[0], now - confirmationAges[1]];
 	}
@@ -137,7 +137,7 @@
 		const peer = this.#peers.get(ip);
 		if (!peer) {
 			this.#peers.set(ip, {
-				ip, origin, lastMessageAt: now, isSilent: false, isStoreWatcher: role?.isStoreWatcher ?? false, canReachStore: role?.canReachStore ?? false, confirmedAt: role ? confirmationTimes(role, now) : neverConfirmed, relayOffer: role?.relayOffer,
+				ip, origin, lastMessageAt: now, isSilent: false, isStoreWatcher: role?.isStoreWatcher ?? false, canReachStore: role?.canReachStore ?? false, confirmedAt: role ? confirmedAtOf(role, now) : neverConfirmed, relayOffer: role?.relayOffer,
 			});
 			this.#ring = undefined;
 			return {change: 'new', previousOrigin: undefined};
@@ -151,7 +151,7 @@
 		if (role) {
 			peer.isStoreWatcher = role.isStoreWatcher;
 			peer.canReachStore = role.canReachStore;
-			peer.confirmedAt = confirmationTimes(role, now);
+			peer.confirmedAt = confirmedAtOf(role, now);
 			if (peer.relayOffer?.failureDomain !== role.relayOffer?.failureDomain) {
 				// Which engines an instance uses follows from its failure domain.
 				this.#ring = undefined;
--- a/src/serving/__tests__/connection-limit.test.ts
+++ b/src/serving/__tests__/connection-limit.test.ts
@@ -6,10 +6,10 @@
 const megabyte = 1_048_576;
 
 const limitCases: Array<{name: string; limits: ProcessLimits; expected: number}> = [
-	{name: 'no limits', limits: {descriptorLimit: undefined, memoryLimit: undefined}, expected: Number.POSITIVE_INFINITY},
-	{name: 'the smallest machine', limits: {descriptorLimit: 2069, memoryLimit: 202 * megabyte}, expected: 646},
-	{name: 'few descriptors', limits: {descriptorLimit: 500, memoryLimit: 602 * megabyte}, expected: 180},
-	{name: 'no descriptors beyond those for files', limits: {descriptorLimit: 200, memoryLimit: undefined}, expected: 1},
+	{name: 'no limits', limits: {socketLimit: undefined, memoryLimit: undefined}, expected: Number.POSITIVE_INFINITY},
+	{name: 'the smallest machine', limits: {socketLimit: 1869, memoryLimit: 202 * megabyte}, expected: 646},
+	{name: 'few sockets', limits: {socketLimit: 300, memoryLimit: 602 * megabyte}, expected: 180},
+	{name: 'no sockets', limits: {socketLimit: 0, memoryLimit: undefined}, expected: 1},
 ];
 
 for (const {name, limits, expected} of limitCases) {
--- a/src/serving/connection-limit.ts
+++ b/src/serving/connection-limit.ts
@@ -5,11 +5,8 @@
  */
 import type {Socket} from 'node:net';
 
-/** Descriptors that the platform keeps for files. */
-const fileDescriptors = 200;
-
-/** Share of the other descriptors that callers may take; the rest is for engines, relays, peers and the store. */
-const descriptorShare = 0.6;
+/** Share of the sockets that callers may take; the rest is for engines, relays, peers and the store. */
+const callerShare = 0.6;
 
 /** Share of the process's memory that connections of callers may take, and the bytes that one takes with a request. */
 const memoryShare = 0.1;
@@ -17,15 +14,15 @@
 
 /** What the platform allows the process. */
 export type ProcessLimits = {
-	/** File descriptors; undefined where no limit is known. */
-	descriptorLimit: number | undefined;
+	/** Open sockets and pipes; undefined where no limit is known. */
+	socketLimit: number | undefined;
 	/** Memory in bytes; undefined where no limit is known. */
 	memoryLimit: number | undefined;
 };
 
 /** Largest number of connections of callers; infinite where no limit is known. */
-export function maximumCallerConnections({descriptorLimit = Number.POSITIVE_INFINITY, memoryLimit = Number.POSITIVE_INFINITY}: ProcessLimits): number {
-	return Math.floor(Math.max(1, Math.min((descriptorLimit - fileDescriptors) * descriptorShare, memoryLimit * memoryShare / connectionBytes)));
+export function maximumCallerConnections({socketLimit = Number.POSITIVE_INFINITY, memoryLimit = Number.POSITIVE_INFINITY}: ProcessLimits): number {
+	return Math.floor(Math.max(1, Math.min(socketLimit * callerShare, memoryLimit * memoryShare / connectionBytes)));
 }
 
 /** Open connections of callers, up to a limit. */
--- a/src/serving/serving-instance-options.ts
+++ b/src/serving/serving-instance-options.ts
@@ -40,8 +40,8 @@
 	regions?: ReadonlyMap<string, string>;
 	/** Memory that the process may take, in bytes; undefined where no limit is known. */
 	memoryLimit?: number | undefined;
-	/** File descriptors that the process may open; undefined where no limit is known. */
-	descriptorLimit?: number | undefined;
+	/** Sockets and pipes that the process may have open; undefined where no limit is known. */
+	socketLimit?: number | undefined;
 	/**
 	 * Time in milliseconds for which ports that are taken are waited for.
 	 * @default 30000
--- a/src/serving/serving-instance.ts
+++ b/src/serving/serving-instance.ts
@@ -232,7 +232,7 @@
 		this.#listener = new CallerListener((request, response, hasMemory) => {
 			eventLoop.recordTurn();
 			void this.#admission.handle(request, response, hasMemory);
-		}, this.#memory, maximumCallerConnections({descriptorLimit: options.descriptorLimit, memoryLimit: options.memoryLimit}));
+		}, this.#memory, maximumCallerConnections({socketLimit: options.socketLimit, memoryLimit: options.memoryLimit}));
 		this.#ports = new InstancePorts({
 			...options, isReady: () => this.isReady, tableServer: this.#tableServer, relay: this.#access, peerMessenger: this.#peerMessenger, callerListener: this.#listener,
 			answerOperator: (request, response) => {
