review: streams are cut by the grace period of the settings at the start

Cause: SIGHUP reads the settings file and writes a log line. The grace period stays that of the start.

What scripts share can change any of these settings.

--- a/review/11/scenario.ts
+++ b/review/11/scenario.ts
@@ -21,7 +21,7 @@
 const promptTokens = 1000;
 const engineCount = 6;
 const firstId = 17_966_859_835_981_230n;
-const plan: StreamPlan = {events: 20, idOf: number => String(firstId + BigInt(number))};
+const plan: StreamPlan = {events: 20, idOf: number => String(firstId + BigInt(number)), interval: 60};
 const wholeStream = Array.from({length: plan.events}, (_, index) => eventOf(plan, index + 1)).join('');
 
 await playCase('review/11', async (deployment, hasTrouble) => {
--- a/review/support-3/deployment.ts
+++ b/review/support-3/deployment.ts
@@ -160,8 +160,8 @@
 		return `127.61.${this.#lane}.${number}`;
 	}
 
-	/** Starts the store with a configuration, the engines, and the instances. @param services - Service of each engine, by its id. */
-	async start(configuration: OperatorDocument, services: Readonly<Record<string, string>>, instanceCount: number): Promise<void> {
+	/** Starts the store with a configuration, the engines, and the instances. @param services - Service of each engine, by its id. @param gracePeriod - In seconds. */
+	async start(configuration: OperatorDocument, services: Readonly<Record<string, string>>, instanceCount: number, gracePeriod?: number): Promise<void> {
 		this.#folder = await mkdtemp(path.join(os.tmpdir(), 'carobquay-review-'));
 		this.#storePort = await this.store.listen();
 		this.configure(configuration);
@@ -178,7 +178,7 @@
 		const ips = Array.from({length: instanceCount}, (_, index) => this.ip(index + 1));
 		for (const [index, ip] of ips.entries()) {
 			this.instances.push(new Instance({
-				name: `front-${index + 1}`, ip, seeds: ips, storePort, folder: this.#folder,
+				name: `front-${index + 1}`, ip, seeds: ips, storePort, folder: this.#folder, ...(gracePeriod !== undefined && {gracePeriod}),
 			}));
 		}
 
--- a/review/support-3/instance.ts
+++ b/review/support-3/instance.ts
@@ -29,6 +29,8 @@
 	/** Addresses of all instances. */
 	seeds: readonly string[];
 	storePort: number;
+	/** Time in seconds from SIGTERM to SIGKILL. */
+	gracePeriod?: number;
 	folder: string;
 };
 
@@ -52,7 +54,7 @@
 };
 
 /** Settings of one instance. */
-function settingsOf({name, ip, seeds, storePort}: InstanceOptions): unknown {
+function settingsOf({name, ip, seeds, storePort, gracePeriod = bounds.grace_s}: InstanceOptions): unknown {
 	return {
 		node_name: name,
 		role: 'entry',
@@ -73,7 +75,7 @@
 		heartbeat_ms: 1200,
 		contracts: ['base', 'drain', 'config', 'cost', 'retry', 'recover', 'engine', 'stream', 'tenants', 'platform', 'spans'],
 		tolerance: {machines: 2, zones: 0, regions: 0},
-		bounds,
+		bounds: {...bounds, grace_s: gracePeriod},
 		platform: {address: `127.0.0.1:${storePort}`, ...storeLimits},
 	};
 }
@@ -129,9 +131,9 @@
 		await this.#untilReady();
 	}
 
-	/** Replaces the settings file by one that names another port of the store, and tells the process. */
-	async moveStore(storePort: number): Promise<void> {
-		await writeFile(`${this.#settings}.new`, JSON.stringify(settingsOf({...this.#options, storePort})));
+	/** Replaces the settings file by one with other values, and tells the process. */
+	async changeSettings(changes: Partial<Pick<InstanceOptions, 'storePort' | 'gracePeriod'>>): Promise<void> {
+		await writeFile(`${this.#settings}.new`, JSON.stringify(settingsOf({...this.#options, ...changes})));
 		await rename(`${this.#settings}.new`, this.#settings);
 		this.signal('SIGHUP');
 	}
--- a/review/support-3/stream-engine.ts
+++ b/review/support-3/stream-engine.ts
@@ -6,15 +6,14 @@
 import http from 'node:http';
 import type {AddressInfo} from 'node:net';
 
-/** Time in milliseconds between two events. */
-const eventInterval = 60;
-
 /** What a stream consists of. */
 export type StreamPlan = {
 	/** Events of a whole stream. */
 	events: number;
 	/** Text of the id of an event, by its number from 1. */
 	idOf: (number: number) => string;
+	/** Time in milliseconds between two events. */
+	interval: number;
 };
 
 /** Text of an event. */
@@ -86,7 +85,7 @@
 		const requestId = String(headers['carobquay-request-id']);
 		const lastEventId = headers['last-event-id'];
 		this.#onArrival(requestId, typeof lastEventId === 'string' ? lastEventId : undefined);
-		const {events, idOf} = this.#plan;
+		const {events, idOf, interval} = this.#plan;
 		const numbers = Array.from({length: events}, (_, index) => index + 1);
 		const known = numbers.find(number => idOf(number) === lastEventId) ?? 0;
 		const rest = numbers.slice(known);
@@ -99,7 +98,7 @@
 			} else {
 				response.write(eventOf(this.#plan, number));
 			}
-		}, eventInterval);
+		}, interval);
 		response.once('close', () => {
 			clearInterval(timer);
 			this.#open.delete(response);
