review: a case that is ended from outside ends its instances

Cause: a script of the cases 11 to 15 that got SIGTERM or SIGINT ended without its instances, which went on running.

The checks of the cases are unchanged.

--- a/review/support-3/deployment.ts
+++ b/review/support-3/deployment.ts
@@ -230,6 +230,20 @@
 			process.exit(recording.end('failed', String(error)));
 		});
 	});
+	// Whoever ends the case ends its processes as well.
+	for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP'] as const) {
+		process.once(signal, () => {
+			void deployment.stop().finally(() => {
+				process.exit(recording.end('failed', `ended by ${signal}`));
+			});
+		});
+	}
+
+	process.once('exit', () => {
+		for (const instance of deployment.instances) {
+			instance.signal('SIGKILL');
+		}
+	});
 	let outcome: {verdict: Verdict; reason: string};
 	try {
 		outcome = await Promise.race([play(deployment, hasTrouble), overdue]);
